--- /dev/null
+++ b/src/cloud.rs
@@ -0,0 +1,182 @@
+//! The cloud's client: flavors, machine list, rentals and returns.
+
+use crate::http::{Client, HttpError};
+use crate::scheduler::{Flavor, MachineId};
+use crate::units::Micros;
+use http_types::Method;
+use serde::Deserialize;
+use serde_json::json;
+use std::net::SocketAddr;
+use thiserror::Error;
+
+const CALL_WITHIN: Micros = Micros::secs(4);
+const PAGE: usize = 500;
+/// The most machines one rental may ask for.
+pub const MAX_RENT: usize = 50;
+/// The most machines one return may name.
+pub const MAX_RETURN: usize = 100;
+
+/// Why the cloud did not do what was asked.
+#[derive(Debug, Error)]
+pub enum CloudError {
+    /// None to be had of this type, zone and kind.
+    #[error("no capacity")]
+    NoCapacity,
+    /// Certainly not executed: too many requests, an outage, or no connection.
+    #[error("refused: {0}")]
+    Refused(String),
+    /// May have been executed, or may be later.
+    #[error("no answer: {0}")]
+    Unknown(String),
+    /// The cloud finds the request, or we find the answer, senseless.
+    #[error("malformed: {0}")]
+    Malformed(String),
+}
+
+/// A machine's state in the cloud's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ListedStatus {
+    /// Not up yet.
+    Booting,
+    /// Up, or dead for less than half a minute.
+    Running,
+    /// Stopped on its own; free of charge.
+    Failed,
+    /// Something this version does not know.
+    #[serde(other)]
+    Unknown,
+}
+
+/// A machine in the cloud's list.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Listed {
+    /// Its name.
+    #[serde(rename = "nameId")]
+    pub machine: MachineId,
+    /// Its type.
+    pub rig: String,
+    /// Its zone.
+    #[serde(rename = "yard")]
+    pub zone: String,
+    /// Whether the cloud may take it back.
+    #[serde(rename = "loaners")]
+    pub spot: bool,
+    /// Its state.
+    pub status: ListedStatus,
+    /// Time since the rental request.
+    #[serde(rename = "ageS")]
+    pub age_s: f64,
+}
+
+#[derive(Deserialize)]
+struct Flavors {
+    rigs: Vec<Flavor>,
+}
+
+#[derive(Deserialize)]
+struct Listing {
+    hosts: Vec<Listed>,
+    #[serde(default)]
+    more: bool,
+}
+
+#[derive(Deserialize)]
+struct Rented {
+    hosts: Vec<MachineId>,
+}
+
+/// What to rent, under a name that is never used for anything else.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, Deserialize)]
+pub struct Rental {
+    /// The name of the request.
+    pub charter: String,
+    /// The machine type.
+    pub rig: String,
+    /// The zone.
+    pub zone: String,
+    /// Whether spot.
+    pub spot: bool,
+    /// How many.
+    pub count: usize,
+}
+
+/// The cloud as one controller sees it.
+pub struct Cloud {
+    client: Client,
+}
+
+impl Cloud {
+    /// A client without connections.
+    pub fn new(addr: SocketAddr) -> Cloud {
+        Cloud {
+            client: Client::new(addr),
+        }
+    }
+
+    async fn call<T: for<'a> Deserialize<'a>>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<serde_json::Value>,
+    ) -> Result<T, CloudError> {
+        let body = body.map(|b| b.to_string().into_bytes());
+        let answer = self.client.call(method, path, body, CALL_WITHIN).await;
+        let (status, bytes) = answer.map_err(|e| {
+            self.client.forget_idle();
+            match e {
+                HttpError::NotSent(e) => CloudError::Refused(e),
+                HttpError::NoAnswer(e) => CloudError::Unknown(e),
+            }
+        })?;
+        let text = String::from_utf8_lossy(&bytes);
+        match status {
+            // An empty body, as a return may have, reads as null.
+            200 if bytes.is_empty() => serde_json::from_str("null"),
+            200 => serde_json::from_slice(&bytes),
+            503 if text.contains("no capacity") => return Err(CloudError::NoCapacity),
+            429 | 503 => return Err(CloudError::Refused(format!("status {status}"))),
+            500..=599 => return Err(CloudError::Unknown(format!("status {status}"))),
+            _ => return Err(CloudError::Malformed(format!("status {status} {text}"))),
+        }
+        .map_err(|e| CloudError::Malformed(e.to_string()))
+    }
+
+    /// The machine types and their current prices.
+    pub async fn flavors(&self) -> Result<Vec<Flavor>, CloudError> {
+        let flavors: Flavors = self.call(Method::Get, "/flavors", None).await?;
+        Ok(flavors.rigs)
+    }
+
+    /// All machines, as the lagging list has them.
+    pub async fn list(&self) -> Result<Vec<Listed>, CloudError> {
+        let mut all: Vec<Listed> = Vec::new();
+        loop {
+            let path = match all.last() {
+                Some(last) => format!("/hosts?from={}&page={PAGE}", last.machine),
+                None => format!("/hosts?page={PAGE}"),
+            };
+            let page: Listing = self.call(Method::Get, &path, None).await?;
+            let end = !page.more || page.hosts.is_empty();
+            all.extend(page.hosts);
+            if end {
+                return Ok(all);
+            }
+        }
+    }
+
+    /// Rents machines; the same request may be repeated and rents once.
+    pub async fn rent(&self, r: &Rental) -> Result<Vec<MachineId>, CloudError> {
+        let body = json!({"charter": r.charter, "rig": r.rig, "yard": r.zone,
+            "loaners": r.spot, "howMany": r.count});
+        let rented: Rented = self.call(Method::Post, "/hosts", Some(body)).await?;
+        Ok(rented.hosts)
+    }
+
+    /// Gives machines back; once this succeeds they are gone with everything on them.
+    pub async fn give_back(&self, machines: &[MachineId]) -> Result<(), CloudError> {
+        let body = json!({ "hosts": machines });
+        let _: serde_json::Value = self.call(Method::Post, "/hosts/return", Some(body)).await?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/controller.rs
@@ -0,0 +1,357 @@
+//! One controller: its parts, its connections and its long-lived duties.
+
+use crate::cloud::Cloud;
+use crate::config::{Platform, Settings};
+use crate::election;
+use crate::http::{self, Call, Reply};
+use crate::leader::{self, Leading};
+use crate::peer::{self, Frame, Knowledge, Peer, Request};
+use crate::scheduler::{MachineId, TeamShare};
+use crate::state::{Change, State, Urgency};
+use crate::store::{Clock, Store, heard_key};
+use crate::units::Micros;
+use crate::{users, workers};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_net::{TcpListener, TcpStream};
+use log::{debug, info, warn};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::io;
+use std::rc::Rc;
+
+/// How often the other controllers are asked what they know.
+const PING_EVERY: Micros = Micros::secs(1);
+/// How long they may take.
+const PING_WITHIN: Micros = Micros::millis(900);
+/// How long what another controller said of the state service counts.
+const WORD_LASTS: Micros = Micros::secs(4);
+
+/// What another controller said last.
+#[derive(Debug, Clone, Default)]
+struct Word {
+    known: Knowledge,
+    at: Micros,
+}
+
+/// A controller.
+pub struct Node {
+    /// The platform's settings.
+    pub platform: Platform,
+    /// The operators' settings.
+    pub settings: Settings,
+    /// The teams.
+    pub teams: BTreeMap<String, TeamShare>,
+    /// Most jobs that are accepted and not over.
+    pub admission_cap: usize,
+    /// Drawn anew by every process.
+    pub incarnation: u64,
+    /// The clock.
+    pub clock: Clock,
+    /// The state service.
+    pub state: Rc<State>,
+    /// The cached view.
+    pub store: Store,
+    /// The cloud.
+    pub cloud: Cloud,
+    /// The other controllers.
+    pub peers: Vec<Peer>,
+    leading: RefCell<Option<Rc<Leading>>>,
+    words: RefCell<BTreeMap<String, Word>>,
+    token_seen: Cell<u64>,
+    avoided: RefCell<BTreeMap<String, Micros>>,
+    heard: RefCell<BTreeMap<MachineId, Micros>>,
+    connections: Cell<usize>,
+}
+
+impl Node {
+    /// A controller that has not begun.
+    pub fn new(platform: Platform, settings: Settings) -> Node {
+        let clock = Clock::default();
+        let limits = &platform.facts.state;
+        let size = platform.facts.size as f64;
+        let state = Rc::new(State::new(
+            platform.external.state,
+            limits.rps / size,
+            limits.write_rps / size,
+        ));
+        // Watches may take about a sixth of a controller's share of the requests.
+        let pause = Micros::from_secs_f64((6.0 * size / limits.rps).clamp(0.05, 0.25));
+        let peers = platform
+            .members
+            .iter()
+            .map(|m| Peer::new(m.node.clone(), m.address));
+        Node {
+            teams: platform.teams(),
+            admission_cap: settings.admission_cap(&platform),
+            incarnation: fastrand::u64(..) >> 12,
+            clock,
+            store: Store::new(state.clone(), clock, pause),
+            state,
+            cloud: Cloud::new(platform.external.cloud),
+            peers: peers.collect(),
+            leading: RefCell::default(),
+            words: RefCell::default(),
+            token_seen: Cell::new(0),
+            avoided: RefCell::default(),
+            heard: RefCell::default(),
+            connections: Cell::new(0),
+            platform,
+            settings,
+        }
+    }
+
+    /// The term that this controller leads, if it does.
+    pub fn leading(&self) -> Option<Rc<Leading>> {
+        self.leading.borrow().clone()
+    }
+
+    /// What this controller knows of who leads: from its own term, its view and the other controllers.
+    pub fn known(&self) -> Knowledge {
+        let mut best = Knowledge {
+            token: self.token_seen.get(),
+            leader: None,
+            state_reachable: self.store.reachable(),
+        };
+        let mut consider = |token: u64, leader: Option<&str>| {
+            if token > best.token || (token == best.token && best.leader.is_none()) {
+                best.token = token;
+                best.leader = leader.map(str::to_owned);
+            }
+        };
+        if let Some(leading) = &*self.leading.borrow() {
+            consider(leading.token(), Some(&self.platform.node));
+        }
+        let view = self.store.view.borrow();
+        consider(view.term, None);
+        if let Some(leader) = &view.leader {
+            consider(leader.version, Some(&leader.value.node));
+        }
+        for word in self.words.borrow().values() {
+            consider(word.known.token, word.known.leader.as_deref());
+        }
+        best
+    }
+
+    /// Takes in what another controller knows.
+    pub fn learn(&self, known: &Knowledge) {
+        self.learn_token(known.token);
+    }
+
+    /// A token was seen that somebody holds or held.
+    pub fn learn_token(&self, token: u64) {
+        self.token_seen.set(self.token_seen.get().max(token));
+    }
+
+    fn note_word(&self, peer: &str, known: Knowledge) {
+        let word = Word {
+            known,
+            at: self.clock.now(),
+        };
+        self.words.borrow_mut().insert(peer.to_owned(), word);
+    }
+
+    /// Whether the direct way to a controller failed lately.
+    pub fn avoids(&self, peer: &str) -> bool {
+        let until = self.avoided.borrow().get(peer).copied();
+        until.is_some_and(|t| t > self.clock.now())
+    }
+
+    /// The direct way to a controller failed.
+    pub fn avoid(&self, peer: &str, until: Micros) {
+        self.avoided.borrow_mut().insert(peer.to_owned(), until);
+    }
+
+    /// A machine reported here, and its report can't be passed on.
+    pub fn note_heard(&self, machine: MachineId) {
+        self.heard.borrow_mut().insert(machine, self.clock.now());
+    }
+
+    /// Whether this controller can take requests.
+    ///
+    /// One that alone can't reach the state service is not ready; in an outage for all of them each stays ready and
+    /// refuses at once, as no other could do better.
+    pub fn is_ready(&self) -> bool {
+        let view = self.store.view.borrow();
+        if !view.loaded || view.flavors.is_none() {
+            return false;
+        }
+        let now = self.clock.now();
+        let another_can = self
+            .words
+            .borrow()
+            .values()
+            .any(|w| w.known.state_reachable && now.since(w.at) < WORD_LASTS);
+        self.store.reachable() || !another_can
+    }
+}
+
+/// Runs a controller for ever; returns only when it can't listen.
+pub async fn run<'a>(ex: &LocalExecutor<'a>, node: Rc<Node>) -> io::Result<()>
+where
+    Rc<Node>: 'a,
+{
+    let faces = TcpListener::bind(node.platform.bind).await?;
+    let internal = TcpListener::bind(node.platform.internal_addr).await?;
+    info!(
+        "event=started node={} zone={} bind={} internal={}",
+        node.platform.node, node.platform.zone, node.platform.bind, node.platform.internal_addr
+    );
+    let duty = |name: &'static str, work: std::pin::Pin<Box<dyn Future<Output = ()>>>| {
+        ex.spawn(async move {
+            work.await;
+            warn!("event=duty_ended duty={name}");
+        })
+    };
+    let n = node.clone();
+    let _follow = duty("follow", Box::pin(async move { n.store.follow().await }));
+    let n = node.clone();
+    let _barriers = duty(
+        "barriers",
+        Box::pin(async move { n.store.serve_barriers().await }),
+    );
+    let n = node.clone();
+    let _lead = duty("lead", Box::pin(async move { lead_by_turns(&n).await }));
+    let n = node.clone();
+    let _heard = duty("heard", Box::pin(async move { tell_heard(&n).await }));
+    let mut pings = Vec::new();
+    for i in 0..node.peers.len() {
+        let n = node.clone();
+        pings.push(duty(
+            "ping",
+            Box::pin(async move { ping(&n, &n.peers[i]).await }),
+        ));
+    }
+    let n = node.clone();
+    let ex2 = LocalExecutor::new();
+    let internal_work = accept(&ex2, internal, node.clone(), move |stream| {
+        let n = n.clone();
+        async move { peer::serve(stream, |frame| hear_peer(n.clone(), frame)).await }
+    });
+    let n = node.clone();
+    let face_work = accept(ex, faces, node.clone(), move |stream| {
+        let n = n.clone();
+        async move { http::serve(stream, |call| route(n.clone(), call)).await }
+    });
+    futures_lite::future::zip(ex2.run(internal_work), face_work).await;
+    Ok(())
+}
+
+/// Accepts connections, each served by a routine of its own.
+async fn accept<'a, F, Fut>(ex: &LocalExecutor<'a>, listener: TcpListener, node: Rc<Node>, serve: F)
+where
+    F: Fn(TcpStream) -> Fut,
+    Fut: Future<Output = ()> + 'a,
+    Rc<Node>: 'a,
+{
+    // Some sockets are kept back for the state service, the cloud and the other controllers.
+    let most = node.platform.facts.machine_limits.max_sockets * 4 / 5;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if node.connections.get() < most => {
+                let node = node.clone();
+                node.connections.set(node.connections.get() + 1);
+                let work = serve(stream);
+                ex.spawn(async move {
+                    work.await;
+                    node.connections.set(node.connections.get() - 1);
+                })
+                .detach();
+            }
+            Ok(_) => debug!("event=connection_refused reason=too_many"),
+            Err(e) => {
+                debug!("event=accept_failed error={:?}", e.to_string());
+                Timer::after(Micros::millis(50).into()).await;
+            }
+        }
+    }
+}
+
+async fn route(node: Rc<Node>, call: Call) -> Reply {
+    if call.path == "/checkin" {
+        workers::answer(&node, &call).await
+    } else {
+        users::answer(&node, &call).await
+    }
+}
+
+async fn hear_peer(node: Rc<Node>, frame: Frame<Request>) -> Frame<peer::Reply> {
+    node.learn(&frame.known);
+    let message = match frame.message {
+        Request::Ping => peer::Reply::Pong,
+        Request::Report { relay, report } => workers::passed_on(&node, report, relay).await,
+    };
+    Frame {
+        known: node.known(),
+        message,
+    }
+}
+
+/// The duty that stands for election and leads when elected.
+async fn lead_by_turns(node: &Rc<Node>) {
+    loop {
+        let leadership = election::win(node).await;
+        let leading = Rc::new(Leading::new(node, leadership));
+        *node.leading.borrow_mut() = Some(leading.clone());
+        let why = leader::lead(node, &leading).await;
+        *node.leading.borrow_mut() = None;
+        info!(
+            "event=stepped_down token={} reason={why:?}",
+            leading.token()
+        );
+        let limits = &node.platform.facts.state;
+        let size = node.platform.facts.size as f64;
+        node.state
+            .set_share(limits.rps / size, limits.write_rps / size);
+        if node.known().token == leading.token() {
+            let _ = node.state.revoke(leading.lease()).await;
+        }
+    }
+}
+
+/// The duty that asks another controller what it knows.
+async fn ping(node: &Node, peer: &Peer) {
+    loop {
+        match peer.call(node.known(), Request::Ping, PING_WITHIN).await {
+            Ok(frame) => {
+                node.learn(&frame.known);
+                node.note_word(&peer.node, frame.known);
+            }
+            Err(e) => debug!(
+                "event=ping_failed peer={} error={:?}",
+                peer.node,
+                e.to_string()
+            ),
+        }
+        Timer::after(PING_EVERY.into()).await;
+    }
+}
+
+/// The duty that tells the leader, by the state service, of machines whose reports can't be passed on.
+///
+/// Guards against a cut zone being taken for dead machines.
+async fn tell_heard(node: &Node) {
+    let every = node.platform.report();
+    loop {
+        Timer::after(every.into()).await;
+        let now = node.clock.now();
+        let machines: Vec<MachineId> = {
+            let mut heard = node.heard.borrow_mut();
+            heard.retain(|_, at| now.since(*at) < every.scaled(3, 2));
+            heard.keys().cloned().collect()
+        };
+        let led = node.store.view.borrow().leader.is_some();
+        if machines.is_empty() || !led || node.leading().is_some() {
+            continue;
+        }
+        let put = Change::Put {
+            key: heard_key(&node.platform.node),
+            value: serde_json::json!(machines),
+            lease: None,
+        };
+        if let Err(e) = node.state.txn(Urgency::Paced, &[], &[put]).await {
+            debug!("event=heard_not_told error={:?}", e.to_string());
+        }
+    }
+}
--- /dev/null
+++ b/src/election.rs
@@ -0,0 +1,159 @@
+//! Who leads: the holder of the leader key, which hangs on a lease; the key's version is the token.
+
+use crate::controller::Node;
+use crate::state::{Change, Condition, Outcome, StateError, Urgency};
+use crate::store::{LEADER, LeaderRecord, TERM};
+use crate::units::Micros;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use log::{debug, info};
+use serde_json::json;
+use std::cell::Cell;
+
+/// How often a controller looks whether there is a leader, beside every change of the view.
+const LOOK_EVERY: Micros = Micros::millis(500);
+/// How long a new leader waits for its view to hold everything before its own election.
+const CATCH_UP_WITHIN: Micros = Micros::secs(2);
+
+/// A lease on leading.
+pub struct Leadership {
+    /// The token.
+    pub token: u64,
+    /// The lease.
+    pub lease: u64,
+    /// Until when it certainly lasts, by this controller's own clock.
+    valid_until: Cell<Micros>,
+}
+
+impl Leadership {
+    /// Whether nobody else can lead yet.
+    pub fn is_valid(&self, now: Micros) -> bool {
+        now < self.valid_until.get()
+    }
+
+    /// For tests and the start of a term.
+    pub fn new(token: u64, lease: u64, valid_until: Micros) -> Leadership {
+        Leadership {
+            token,
+            lease,
+            valid_until: Cell::new(valid_until),
+        }
+    }
+}
+
+/// The end of a lease of `ttl` renewed by a request sent at `sent`: clocks may drift by 0.05%, so a hundredth is
+/// more than enough.
+fn lasts(sent: Micros, ttl: Micros) -> Micros {
+    sent + ttl.scaled(99, 100)
+}
+
+/// Waits until this controller is elected and its view holds all that went before.
+pub async fn win(node: &Node) -> Leadership {
+    loop {
+        let changed = node.store.changed.listen();
+        let holder = {
+            let view = node.store.view.borrow();
+            view.loaded
+                .then(|| view.leader.as_ref().map(|l| l.value.clone()))
+        };
+        match holder {
+            Some(None) => {
+                if let Some(leadership) = stand(node).await {
+                    return leadership;
+                }
+            }
+            // A key of this node that this process does not lead by is its former self's, or a term just given up:
+            // its lease need not run out first.
+            Some(Some(record)) if record.node == node.platform.node => {
+                let ended = node.state.revoke(record.lease).await;
+                debug!("event=former_lease_ended good={}", ended.is_ok());
+            }
+            _ => {}
+        }
+        let look = async {
+            Timer::after(LOOK_EVERY.into()).await;
+        };
+        changed.or(look).await;
+    }
+}
+
+/// One try to take the free leader key.
+async fn stand(node: &Node) -> Option<Leadership> {
+    let ttl = node.settings.leader_lease();
+    let sent = node.clock.now();
+    let lease = node.state.grant(ttl).await.ok()?;
+    let record = LeaderRecord {
+        node: node.platform.node.clone(),
+        incarnation: node.incarnation,
+        lease,
+    };
+    let when = [Condition {
+        key: LEADER.into(),
+        version: 0,
+    }];
+    let writes = [
+        Change::Put {
+            key: LEADER.into(),
+            value: json!(record),
+            lease: Some(lease),
+        },
+        Change::Put {
+            key: TERM.into(),
+            value: json!(node.platform.node),
+            lease: None,
+        },
+    ];
+    let token = match node.state.txn(Urgency::Now, &when, &writes).await {
+        Ok(Outcome::Applied(revision)) => revision,
+        Ok(Outcome::Conflict(_)) | Err(StateError::Refused(_)) => {
+            let _ = node.state.revoke(lease).await;
+            return None;
+        }
+        // It may have been applied: the key tells. If it is applied later, the lease has ended by then or the view
+        // shows this node as the holder, and the lease is ended.
+        Err(_) => match node.state.get(Urgency::Now, LEADER).await {
+            Ok(Ok(item)) if item.value == json!(record) => item.version,
+            _ => {
+                let _ = node.state.revoke(lease).await;
+                return None;
+            }
+        },
+    };
+    if !node.store.caught_up(token, CATCH_UP_WITHIN).await {
+        let _ = node.state.revoke(lease).await;
+        return None;
+    }
+    info!("event=leading token={token}");
+    Some(Leadership::new(token, lease, lasts(sent, ttl)))
+}
+
+/// Renews the lease until it is lost or another controller leads; says why.
+pub async fn keep(node: &Node, leadership: &Leadership) -> &'static str {
+    let ttl = node.settings.leader_lease();
+    let mut outage = false;
+    loop {
+        Timer::after(ttl.scaled(1, 4).into()).await;
+        if node.known().token > leadership.token {
+            return "another controller leads";
+        }
+        let sent = node.clock.now();
+        match node.state.extend(leadership.lease).await {
+            Ok(()) => {
+                node.store.note_answer();
+                leadership.valid_until.set(lasts(sent, ttl));
+                if outage {
+                    outage = false;
+                    info!("event=outage_ended token={}", leadership.token);
+                }
+            }
+            Err(StateError::NoLease) => return "lease lost",
+            Err(e) => {
+                debug!("event=renewal_failed error={:?}", e.to_string());
+                if !outage && !leadership.is_valid(node.clock.now()) {
+                    outage = true;
+                    info!("event=outage_began token={} orders=held", leadership.token);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,261 @@
+//! The glue to `async-h1`: a pooled client for one address, and a server routine for one connection.
+
+use crate::units::Micros;
+use async_io::Timer;
+use async_net::TcpStream;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, io};
+use http_types::headers::{CONNECTION, CONTENT_TYPE};
+use http_types::{Method, Request, Response, StatusCode, Url};
+use serde::Serialize;
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// The largest request body that the protocol allows.
+pub const MAX_BODY: usize = 64 * 1024;
+/// How long a connection may take to send a request's head, or its body.
+const READ_WITHIN: Micros = Micros::secs(10);
+/// How long a connection may stand idle between requests.
+const IDLE_WITHIN: Micros = Micros::secs(60);
+/// How long a peer may take to accept an answer.
+const WRITE_WITHIN: Micros = Micros::secs(10);
+/// Idle connections that a client keeps.
+const MAX_IDLE: usize = 8;
+
+/// Why a request got no usable answer.
+#[derive(Debug, Error)]
+pub enum HttpError {
+    /// No connection came about, so the request was certainly not received.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The request may have been carried out, or may still be.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+}
+
+/// Runs `work`, but no longer than `limit`.
+pub async fn within<T>(limit: Micros, work: impl Future<Output = T>) -> Option<T> {
+    async { Some(work.await) }
+        .or(async {
+            Timer::after(limit.into()).await;
+            None
+        })
+        .await
+}
+
+/// An HTTP client for one address; connections are kept and used again.
+pub struct Client {
+    addr: SocketAddr,
+    idle: RefCell<Vec<TcpStream>>,
+}
+
+impl Client {
+    /// A client without connections.
+    pub fn new(addr: SocketAddr) -> Client {
+        Client {
+            addr,
+            idle: RefCell::new(Vec::new()),
+        }
+    }
+
+    /// Sends one request and reads the whole answer; `limit` covers everything.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        limit: Micros,
+    ) -> Result<(u16, Vec<u8>), HttpError> {
+        let kept = self.idle.borrow_mut().pop();
+        let reused = kept.is_some();
+        let sent = std::cell::Cell::new(reused);
+        let work = async {
+            let stream = match kept {
+                Some(stream) => stream,
+                None => TcpStream::connect(self.addr)
+                    .await
+                    .map_err(|e| HttpError::NotSent(e.to_string()))?,
+            };
+            let _ = stream.set_nodelay(true);
+            sent.set(true);
+            self.exchange(stream, method, path, body.clone()).await
+        };
+        match within(limit, work).await {
+            Some(answer) => answer,
+            None if sent.get() => Err(HttpError::NoAnswer("timed out".into())),
+            None => Err(HttpError::NotSent("connecting timed out".into())),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        stream: TcpStream,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+    ) -> Result<(u16, Vec<u8>), HttpError> {
+        let no_answer = |e: http_types::Error| HttpError::NoAnswer(e.to_string());
+        let url = Url::parse(&format!("http://{}{}", self.addr, path))
+            .map_err(|e| HttpError::NotSent(e.to_string()))?;
+        let mut request = Request::new(method, url);
+        if let Some(body) = body {
+            request.set_body(body);
+            request.insert_header(CONTENT_TYPE, "application/json");
+        }
+        let mut response = async_h1::connect(stream.clone(), request)
+            .await
+            .map_err(no_answer)?;
+        let bytes = response.body_bytes().await.map_err(no_answer)?;
+        let close = response
+            .header(CONNECTION)
+            .is_some_and(|c| c.as_str().eq_ignore_ascii_case("close"));
+        let mut idle = self.idle.borrow_mut();
+        if !close && idle.len() < MAX_IDLE {
+            idle.push(stream);
+        }
+        Ok((response.status() as u16, bytes))
+    }
+
+    /// Drops the kept connections; after a failure they are likely dead as well.
+    pub fn forget_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+}
+
+/// A request as the faces see it: whole, and with a bounded body.
+pub struct Call {
+    /// The method.
+    pub method: Method,
+    /// The path.
+    pub path: String,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// An answer of one of the faces.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// The status.
+    pub status: u16,
+    /// The body, JSON or empty.
+    pub body: Vec<u8>,
+    /// When to come back, in whole seconds.
+    pub retry_after: Option<u64>,
+}
+
+impl Reply {
+    /// An answer with a JSON body.
+    pub fn json(status: u16, value: &impl Serialize) -> Reply {
+        Reply {
+            status,
+            body: serde_json::to_vec(value).unwrap_or_default(),
+            retry_after: None,
+        }
+    }
+
+    /// An error with a reason in words.
+    pub fn error(status: u16, reason: &str) -> Reply {
+        Reply::json(status, &serde_json::json!({ "error": reason }))
+    }
+
+    /// A refusal that says when to come back.
+    pub fn later(status: u16, reason: &str, seconds: u64) -> Reply {
+        Reply {
+            retry_after: Some(seconds),
+            ..Reply::error(status, reason)
+        }
+    }
+
+    fn into_response(self, close: bool) -> Response {
+        let code = StatusCode::try_from(self.status).unwrap_or(StatusCode::InternalServerError);
+        let mut response = Response::new(code);
+        response.set_body(self.body);
+        response.insert_header(CONTENT_TYPE, "application/json");
+        if let Some(seconds) = self.retry_after {
+            response.insert_header("Retry-After", seconds.to_string());
+        }
+        if close {
+            response.insert_header(CONNECTION, "close");
+        }
+        response
+    }
+}
+
+/// Serves one connection until it ends, idles too long or breaks the protocol.
+///
+/// Guards against: bodies over the limit (refused before they are read), heads or bodies that trickle in (bounded
+/// time), readers that do not take their answer (bounded time).
+pub async fn serve<F, Fut>(stream: TcpStream, handle: F)
+where
+    F: Fn(Call) -> Fut,
+    Fut: Future<Output = Reply>,
+{
+    let _ = stream.set_nodelay(true);
+    loop {
+        let first = within(IDLE_WITHIN, peek(&stream)).await;
+        if !matches!(first, Some(Ok(true))) {
+            return;
+        }
+        let decoded = within(READ_WITHIN, async_h1::server::decode(stream.clone())).await;
+        let mut request = match decoded {
+            Some(Ok(Some((request, _)))) => request,
+            Some(Err(_)) => {
+                let refusal = Reply::error(400, "malformed request");
+                send(&stream, refusal, Method::Get, true).await;
+                return;
+            }
+            _ => return,
+        };
+        let method = request.method();
+        let asked_close = request
+            .header(CONNECTION)
+            .is_some_and(|c| c.as_str().eq_ignore_ascii_case("close"));
+        let (reply, close) = match read_body(&mut request).await {
+            Ok(body) => {
+                let call = Call {
+                    method,
+                    path: request.url().path().to_owned(),
+                    body,
+                };
+                (handle(call).await, asked_close)
+            }
+            // The rest of the body is not read, so the connection can't go on.
+            Err(refusal) => (refusal, true),
+        };
+        if !send(&stream, reply, method, close).await || close {
+            return;
+        }
+    }
+}
+
+async fn peek(stream: &TcpStream) -> io::Result<bool> {
+    let mut byte = [0u8; 1];
+    Ok(stream.peek(&mut byte).await? > 0)
+}
+
+async fn read_body(request: &mut Request) -> Result<Vec<u8>, Reply> {
+    if request.len().is_some_and(|len| len > MAX_BODY) {
+        return Err(Reply::error(413, "body over 64 KiB"));
+    }
+    let mut body = Vec::new();
+    let mut reader = request.take_body().take(MAX_BODY as u64 + 1);
+    match within(READ_WITHIN, reader.read_to_end(&mut body)).await {
+        Some(Ok(_)) if body.len() > MAX_BODY => Err(Reply::error(413, "body over 64 KiB")),
+        Some(Ok(_)) => Ok(body),
+        Some(Err(_)) => Err(Reply::error(400, "malformed body")),
+        None => Err(Reply::error(408, "body too slow")),
+    }
+}
+
+async fn send(stream: &TcpStream, reply: Reply, method: Method, close: bool) -> bool {
+    let mut encoder = async_h1::server::Encoder::new(reply.into_response(close), method);
+    let mut stream = stream.clone();
+    let work = async {
+        let mut bytes = Vec::with_capacity(512);
+        encoder.read_to_end(&mut bytes).await?;
+        stream.write_all(&bytes).await?;
+        stream.flush().await
+    };
+    matches!(within(WRITE_WITHIN, work).await, Some(Ok(())))
+}
--- /dev/null
+++ b/src/leader.rs
@@ -0,0 +1,596 @@
+//! What the leading controller does: rounds of offers and writes, and the fleet.
+
+use crate::cloud::{CloudError, MAX_RENT, MAX_RETURN, Rental};
+use crate::controller::Node;
+use crate::election::{self, Leadership};
+use crate::http::within;
+use crate::scheduler::{End, Final, Flavor, JobId, MachineId, Scheduler, Want, Write};
+use crate::state::{Change, Condition, Outcome, StateError, Urgency};
+use crate::store::{FLAVORS, LEADER, RENTALS, RentalRecord, Seen, chunk_key, end_key, job_key};
+use crate::units::Micros;
+use async_io::Timer;
+use event_listener::Event;
+use futures_lite::{FutureExt, future};
+use log::{debug, info, warn};
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+
+/// Most time between two rounds.
+const ROUND_EVERY: Micros = Micros::millis(200);
+/// How long a round waits for more reports to come in.
+const GATHER: Micros = Micros::millis(15);
+/// How long a report's answer waits for its round.
+const ROUND_WITHIN: Micros = Micros::millis(700);
+/// Batches written in one round.
+const BATCHES_PER_ROUND: usize = 4;
+/// Pause before a transaction is sent again.
+const RETRY_PAUSE: Micros = Micros::millis(120);
+/// Room left in a transaction of 64 KiB for its conditions.
+const BATCH_BYTES: usize = 36 * 1024;
+/// How often the fleet is looked at.
+const FLEET_EVERY: Micros = Micros::millis(500);
+/// How often the machine types are read.
+const FLAVORS_EVERY: Micros = Micros::secs(30);
+/// Tries of one rental request.
+const RENT_TRIES: usize = 3;
+/// A rental is remembered at least so long for the next leader.
+const RENTAL_KEPT: Micros = Micros::secs(90);
+
+/// A term of leading.
+pub struct Leading {
+    leadership: Leadership,
+    /// The scheduler of this term.
+    pub scheduler: RefCell<Scheduler>,
+    work: Event,
+    begun: Cell<u64>,
+    ended: Cell<u64>,
+    round_ended: Event,
+    rentals: RefCell<Vec<RentalRecord>>,
+    charters: Cell<u64>,
+}
+
+impl Leading {
+    /// A term that begins with what the view holds.
+    pub fn new(node: &Node, leadership: Leadership) -> Leading {
+        let now = node.clock.now();
+        let mut scheduler = Scheduler::new(
+            node.settings.knobs(&node.platform),
+            node.teams.clone(),
+            leadership.token,
+            node.incarnation ^ leadership.token,
+            now,
+        );
+        let view = node.store.view.borrow();
+        if let Some(flavors) = &view.flavors {
+            scheduler.set_flavors(&flavors.value);
+        }
+        let rentals = view
+            .rentals
+            .as_ref()
+            .map_or(Vec::new(), |r| r.value.clone());
+        for record in &rentals {
+            if let Some(machines) = &record.machines {
+                scheduler.inherit_rented(&record.pool(), machines, now);
+            }
+        }
+        for (id, job) in &view.jobs {
+            let chunks = view.runs.get(id).into_iter().flatten();
+            let chunks = chunks.map(|(n, c)| (*n, c.value.clone(), c.version));
+            scheduler.add_job(&job.value, view.ends.get(id).copied(), chunks, now);
+        }
+        Leading {
+            leadership,
+            scheduler: RefCell::new(scheduler),
+            work: Event::new(),
+            begun: Cell::new(0),
+            ended: Cell::new(0),
+            round_ended: Event::new(),
+            rentals: RefCell::new(rentals),
+            charters: Cell::new(0),
+        }
+    }
+
+    /// The token of the term.
+    pub fn token(&self) -> u64 {
+        self.leadership.token
+    }
+
+    /// The lease that the term hangs on.
+    pub fn lease(&self) -> u64 {
+        self.leadership.lease
+    }
+
+    /// Whether orders may be given: the lease certainly lasts.
+    pub fn may_order(&self, now: Micros) -> bool {
+        self.leadership.is_valid(now)
+    }
+
+    /// Waits for a round that begins after this call, but not for long.
+    pub async fn round_after_now(&self) {
+        let target = self.begun.get() + 1;
+        self.work.notify(usize::MAX);
+        let wait = async {
+            loop {
+                let ended = self.round_ended.listen();
+                if self.ended.get() >= target {
+                    return;
+                }
+                ended.await;
+            }
+        };
+        within(ROUND_WITHIN, wait).await;
+    }
+
+    fn leader_condition(&self) -> Condition {
+        Condition {
+            key: LEADER.into(),
+            version: self.token(),
+        }
+    }
+}
+
+/// Leads until the term is over; says why.
+pub async fn lead(node: &Node, leading: &Leading) -> &'static str {
+    // The leader does most of the reading and writing: half of the budget is its own.
+    let limits = &node.platform.facts.state;
+    node.state
+        .set_share(limits.rps / 2.0, limits.write_rps / 2.0);
+    let duties = rounds(node, leading)
+        .or(news(node, leading))
+        .or(flavors(node, leading))
+        .or(listing(node, leading))
+        .or(fleet(node, leading));
+    election::keep(node, &leading.leadership).or(duties).await
+}
+
+/// The duty that starts a round as soon as the view has something new.
+async fn news(node: &Node, leading: &Leading) -> &'static str {
+    loop {
+        node.store.news.listen().await;
+        leading.work.notify(usize::MAX);
+    }
+}
+
+/// The duty that runs the rounds.
+async fn rounds(node: &Node, leading: &Leading) -> &'static str {
+    loop {
+        let work = leading.work.listen();
+        let pause = async {
+            Timer::after(ROUND_EVERY.into()).await;
+        };
+        work.or(pause).await;
+        Timer::after(GATHER.into()).await;
+        leading.begun.set(leading.begun.get() + 1);
+        take_news(node, leading);
+        let now = node.clock.now();
+        if leading.may_order(now) {
+            leading.scheduler.borrow_mut().round(now);
+        }
+        for _ in 0..BATCHES_PER_ROUND {
+            let batch = leading
+                .scheduler
+                .borrow_mut()
+                .next_batch(node.platform.facts.state.txn_ops, BATCH_BYTES);
+            if batch.is_empty() {
+                break;
+            }
+            if let Err(why) = write_batch(node, leading, &batch).await {
+                return why;
+            }
+        }
+        for note in leading.scheduler.borrow_mut().take_notes() {
+            info!("{note}");
+        }
+        leading.ended.set(leading.begun.get());
+        leading.round_ended.notify(usize::MAX);
+    }
+}
+
+/// Hands the view's news to the scheduler.
+fn take_news(node: &Node, leading: &Leading) {
+    let now = node.clock.now();
+    let mut scheduler = leading.scheduler.borrow_mut();
+    for seen in node.store.take_seen() {
+        let view = node.store.view.borrow();
+        match seen {
+            Seen::Job(id) => {
+                if let Some(job) = view.jobs.get(&id) {
+                    let chunks = view.runs.get(&id).into_iter().flatten();
+                    let chunks = chunks.map(|(n, c)| (*n, c.value.clone(), c.version));
+                    scheduler.add_job(&job.value, view.ends.get(&id).copied(), chunks, now);
+                }
+            }
+            Seen::End(id) => {
+                if let Some(end) = view.ends.get(&id) {
+                    scheduler.end_job(&id, *end);
+                }
+            }
+            Seen::Heard(machines) => scheduler.on_heard(&machines, now),
+            Seen::Flavors => {}
+        }
+    }
+}
+
+/// Writes a batch until its outcome is certain; an error says why the term is over.
+async fn write_batch(node: &Node, leading: &Leading, batch: &[Write]) -> Result<(), &'static str> {
+    let at = node.clock.wall();
+    let (when, changes) = transaction(leading, batch, at);
+    let mut unsure = false;
+    loop {
+        match node.state.txn(Urgency::Now, &when, &changes).await {
+            Ok(Outcome::Applied(revision)) => {
+                node.store.note_answer();
+                leading
+                    .scheduler
+                    .borrow_mut()
+                    .batch_applied(batch, revision);
+                log_ends(batch);
+                return Ok(());
+            }
+            Ok(Outcome::Conflict(failed)) => {
+                node.store.note_answer();
+                return settle(node, leading, batch, &failed, unsure, at).await;
+            }
+            Err(StateError::Refused(e)) => debug!("event=write_refused error={e:?}"),
+            Err(e @ (StateError::Malformed(_) | StateError::NoLease | StateError::TooOld)) => {
+                warn!("event=write_failed error={:?}", e.to_string());
+                return Err("a write was found senseless");
+            }
+            Err(StateError::Unknown(e)) => {
+                debug!("event=write_unanswered error={e:?}");
+                unsure = true;
+            }
+        }
+        Timer::after(RETRY_PAUSE.into()).await;
+    }
+}
+
+fn log_ends(batch: &[Write]) {
+    for write in batch {
+        if let Write::Done { job, tasks } = write {
+            info!("event=job_done job={job} tasks={tasks}");
+        }
+    }
+}
+
+/// The conditions and changes of a batch.
+fn transaction(leading: &Leading, batch: &[Write], at: u64) -> (Vec<Condition>, Vec<Change>) {
+    let mut when = BTreeMap::new();
+    let leader = leading.leader_condition();
+    when.insert(leader.key, leader.version);
+    let mut changes = Vec::new();
+    let put = |key: String, value: serde_json::Value| Change::Put {
+        key,
+        value,
+        lease: None,
+    };
+    for write in batch {
+        match write {
+            Write::Chunk {
+                job,
+                chunk,
+                record,
+                version,
+                places,
+            } => {
+                let key = chunk_key(job, *chunk);
+                when.insert(key.clone(), *version);
+                if *places {
+                    when.insert(end_key(job), 0);
+                }
+                changes.push(put(key, json!(record)));
+            }
+            Write::Done { job, tasks } => {
+                when.insert(end_key(job), 0);
+                changes.push(put(end_key(job), json!(done_record(*tasks, at))));
+            }
+            Write::Forget { job, chunks, whole } => {
+                for (chunk, version) in chunks {
+                    let key = chunk_key(job, *chunk);
+                    when.insert(key.clone(), *version);
+                    changes.push(Change::Delete { key });
+                }
+                if *whole {
+                    changes.push(Change::Delete { key: job_key(job) });
+                }
+            }
+        }
+    }
+    let when = when
+        .into_iter()
+        .map(|(key, version)| Condition { key, version })
+        .collect();
+    (when, changes)
+}
+
+fn done_record(tasks: u32, at: u64) -> End {
+    End {
+        how: Final::Done,
+        at,
+        done: tasks,
+    }
+}
+
+/// A batch met a conflict: the term is over, a job was over, or an earlier try had been applied after all.
+async fn settle(
+    node: &Node,
+    leading: &Leading,
+    batch: &[Write],
+    failed: &[String],
+    unsure: bool,
+    at: u64,
+) -> Result<(), &'static str> {
+    if failed.iter().any(|k| k == LEADER) {
+        return Err("the leader key is another's");
+    }
+    if unsure && let Some(revision) = applied_before(node, batch, at).await? {
+        leading
+            .scheduler
+            .borrow_mut()
+            .batch_applied(batch, revision);
+        log_ends(batch);
+        return Ok(());
+    }
+    let over: Vec<JobId> = batch
+        .iter()
+        .map(Write::job)
+        .filter(|job| failed.contains(&end_key(job)))
+        .cloned()
+        .collect();
+    if over.is_empty() {
+        // Nobody else writes these keys under this token: the picture is wrong and is built anew.
+        warn!("event=unexpected_conflict keys={failed:?}");
+        return Err("an unexpected conflict");
+    }
+    let mut scheduler = leading.scheduler.borrow_mut();
+    scheduler.batch_dropped(batch);
+    for job in over {
+        scheduler.job_is_over(&job);
+    }
+    Ok(())
+}
+
+/// Whether a batch, of which a try went unanswered, was applied; and if so, at which revision.
+async fn applied_before(
+    node: &Node,
+    batch: &[Write],
+    at: u64,
+) -> Result<Option<u64>, &'static str> {
+    let Some(first) = batch.first() else {
+        return Ok(None);
+    };
+    let (key, expected) = match first {
+        Write::Chunk {
+            job, chunk, record, ..
+        } => (chunk_key(job, *chunk), Some(json!(record))),
+        Write::Done { job, tasks } => (end_key(job), Some(json!(done_record(*tasks, at)))),
+        Write::Forget { job, chunks, .. } => match chunks.first() {
+            Some((chunk, _)) => (chunk_key(job, *chunk), None),
+            None => (job_key(job), None),
+        },
+    };
+    loop {
+        match node.state.get(Urgency::Now, &key).await {
+            Ok(Ok(item)) => return Ok((Some(item.value) == expected).then_some(item.version)),
+            Ok(Err(revision)) => return Ok(expected.is_none().then_some(revision)),
+            Err(StateError::Refused(_) | StateError::Unknown(_)) => {
+                Timer::after(RETRY_PAUSE.into()).await;
+            }
+            Err(_) => return Err("a read was found senseless"),
+        }
+    }
+}
+
+/// The duty that reads the machine types and keeps them for controllers that can't.
+async fn flavors(node: &Node, leading: &Leading) -> &'static str {
+    loop {
+        let pause = match node.cloud.flavors().await {
+            Ok(flavors) => {
+                leading.scheduler.borrow_mut().set_flavors(&flavors);
+                let known = node.store.view.borrow().flavors.clone();
+                if known.is_none_or(|k| !same_but_prices(&k.value, &flavors)) {
+                    let put = Change::Put {
+                        key: FLAVORS.into(),
+                        value: json!(flavors),
+                        lease: None,
+                    };
+                    let when = [leading.leader_condition()];
+                    if let Err(e) = node.state.txn(Urgency::Now, &when, &[put]).await {
+                        debug!("event=flavors_not_written error={:?}", e.to_string());
+                        Timer::after(Micros::millis(500).into()).await;
+                        continue;
+                    }
+                }
+                FLAVORS_EVERY
+            }
+            Err(e) => {
+                debug!("event=flavors_failed error={:?}", e.to_string());
+                Micros::secs(1)
+            }
+        };
+        Timer::after(pause.into()).await;
+    }
+}
+
+fn same_but_prices(a: &[Flavor], b: &[Flavor]) -> bool {
+    let bare = |f: &Flavor| Flavor {
+        price: 0.0,
+        spot_price: 0.0,
+        ..f.clone()
+    };
+    a.iter().map(bare).eq(b.iter().map(bare))
+}
+
+/// The duty that reads the machine list.
+async fn listing(node: &Node, leading: &Leading) -> &'static str {
+    let every = Micros::from_secs_f64((4.0 / node.platform.facts.cloud.rps).max(2.0));
+    loop {
+        match node.cloud.list().await {
+            Ok(list) => {
+                let now = node.clock.now();
+                leading.scheduler.borrow_mut().on_list(&list, now);
+            }
+            Err(e) => debug!("event=list_failed error={:?}", e.to_string()),
+        }
+        Timer::after(every.into()).await;
+    }
+}
+
+/// The duty that rents and gives back machines.
+async fn fleet(node: &Node, leading: &Leading) -> &'static str {
+    finish_rentals(node, leading).await;
+    loop {
+        Timer::after(FLEET_EVERY.into()).await;
+        let now = node.clock.now();
+        if !leading.may_order(now) {
+            continue;
+        }
+        let plan = leading
+            .scheduler
+            .borrow_mut()
+            .plan_fleet(now, node.clock.wall());
+        let give_back = give_back(node, leading, &plan.give_back);
+        let rent = async {
+            for want in &plan.rent {
+                rent(node, leading, want).await;
+            }
+        };
+        future::zip(give_back, rent).await;
+    }
+}
+
+async fn give_back(node: &Node, leading: &Leading, machines: &[MachineId]) {
+    for part in machines.chunks(MAX_RETURN) {
+        match node.cloud.give_back(part).await {
+            Ok(()) => {
+                info!("event=machines_returned count={}", part.len());
+                let now = node.clock.now();
+                leading.scheduler.borrow_mut().returned(part, now);
+                for record in leading.rentals.borrow_mut().iter_mut() {
+                    if let Some(machines) = &mut record.machines {
+                        machines.retain(|m| !part.contains(m));
+                    }
+                }
+                leading.work.notify(usize::MAX);
+            }
+            Err(e) => {
+                info!("event=return_failed error={:?}", e.to_string());
+                return;
+            }
+        }
+    }
+}
+
+/// Asks again for what an earlier leader asked for without noting the answer: the same request rents only once.
+async fn finish_rentals(node: &Node, leading: &Leading) {
+    let open: Vec<Rental> = leading
+        .rentals
+        .borrow()
+        .iter()
+        .filter(|r| r.machines.is_none())
+        .map(|r| r.rental.clone())
+        .collect();
+    for rental in open {
+        request(node, leading, &rental).await;
+    }
+}
+
+async fn rent(node: &Node, leading: &Leading, want: &Want) {
+    let number = leading.charters.get();
+    leading.charters.set(number + 1);
+    let rental = Rental {
+        charter: format!("r-{}-{number}", leading.token()),
+        rig: want.pool.rig.clone(),
+        zone: want.pool.zone.clone(),
+        spot: want.pool.spot,
+        count: want.count.min(MAX_RENT),
+    };
+    leading.rentals.borrow_mut().push(RentalRecord {
+        rental: rental.clone(),
+        machines: None,
+        at: node.clock.wall(),
+    });
+    // The request is written down before it is sent, so that the next leader can ask for its answer.
+    if !note_rentals(node, leading).await {
+        leading
+            .rentals
+            .borrow_mut()
+            .retain(|r| r.rental.charter != rental.charter);
+        return;
+    }
+    leading.scheduler.borrow_mut().rent_started(want);
+    let machines = request(node, leading, &rental).await;
+    let now = node.clock.now();
+    leading
+        .scheduler
+        .borrow_mut()
+        .rent_done(want, &machines, now);
+    note_rentals(node, leading).await;
+}
+
+/// Sends a rental request, again where the answer is lost, and notes what came of it.
+async fn request(node: &Node, leading: &Leading, rental: &Rental) -> Vec<MachineId> {
+    let mut machines = Vec::new();
+    for _ in 0..RENT_TRIES {
+        match node.cloud.rent(rental).await {
+            Ok(rented) => {
+                info!(
+                    "event=machines_rented charter={} zone={} spot={} asked={} got={}",
+                    rental.charter,
+                    rental.zone,
+                    rental.spot,
+                    rental.count,
+                    rented.len()
+                );
+                machines = rented;
+                break;
+            }
+            Err(CloudError::NoCapacity) => {
+                info!(
+                    "event=no_capacity rig={} zone={} spot={}",
+                    rental.rig, rental.zone, rental.spot
+                );
+                break;
+            }
+            Err(e) => {
+                info!("event=rent_failed error={:?}", e.to_string());
+                Timer::after(Micros::secs(1).into()).await;
+            }
+        }
+    }
+    for record in leading.rentals.borrow_mut().iter_mut() {
+        if record.rental.charter == rental.charter {
+            record.machines = Some(machines.clone());
+            let now = node.clock.now();
+            let pool = record.pool();
+            leading
+                .scheduler
+                .borrow_mut()
+                .inherit_rented(&pool, &machines, now);
+        }
+    }
+    machines
+}
+
+/// Writes down the recent rentals; false if that was not confirmed.
+async fn note_rentals(node: &Node, leading: &Leading) -> bool {
+    let wall = node.clock.wall();
+    let limit = node.platform.facts.state.value_kb * 1024.0;
+    let value = {
+        let mut rentals = leading.rentals.borrow_mut();
+        rentals.retain(|r| wall.saturating_sub(r.at) < RENTAL_KEPT.0);
+        while json!(*rentals).to_string().len() as f64 > limit && !rentals.is_empty() {
+            rentals.remove(0);
+        }
+        json!(*rentals)
+    };
+    let put = Change::Put {
+        key: RENTALS.into(),
+        value,
+        lease: None,
+    };
+    let when = [leading.leader_condition()];
+    let written = node.state.txn(Urgency::Now, &when, &[put]).await;
+    matches!(written, Ok(Outcome::Applied(_)))
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,17 @@
+//! ravenhead, a cluster scheduler whose controllers keep their state only in a state service.
+//!
+//! See `docs/design.md` for how it works and what guards each rule.
+
+pub mod cloud;
+pub mod config;
+pub mod controller;
+pub mod election;
+pub mod http;
+pub mod leader;
+pub mod peer;
+pub mod scheduler;
+pub mod state;
+pub mod store;
+pub mod units;
+pub mod users;
+pub mod workers;
--- /dev/null
+++ b/src/scheduler/fleet.rs
@@ -0,0 +1,604 @@
+//! The fleet: what to rent for tasks that nobody took, what to give back, and which machines are to be given up.
+
+use super::offers::zone_takes;
+use super::*;
+use crate::cloud::{Listed, ListedStatus};
+
+/// How long a pool that had no machine is left alone.
+const POOL_PAUSE: Micros = Micros::secs(20);
+/// Tasks looked at in one round when counting what to rent.
+const TASKS_PER_ROUND: usize = 1_000;
+/// The cloud charges at least so much for a machine that is given back.
+const LEAST_CHARGE: Micros = Micros::secs(60);
+/// How long a worker waits for an answer, and then before it tries the next controller.
+const WORKER_MOVES_ON: Micros = Micros::secs(5);
+/// How far back arrivals are counted to size the reserve.
+const ARRIVALS_OVER: Micros = Micros::secs(120);
+
+/// Machines of one type, zone and kind.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Pool {
+    /// The type.
+    pub rig: String,
+    /// The zone.
+    pub zone: String,
+    /// Whether spot.
+    pub spot: bool,
+}
+
+/// Machines to rent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Want {
+    /// From where.
+    pub pool: Pool,
+    /// How many.
+    pub count: usize,
+}
+
+/// What is to be done with the fleet now.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct FleetPlan {
+    /// To rent.
+    pub rent: Vec<Want>,
+    /// To give back.
+    pub give_back: Vec<MachineId>,
+}
+
+/// What the scheduler remembers of its rentals.
+#[derive(Debug, Default)]
+pub(super) struct Fleet {
+    /// Asked for, not answered.
+    renting: Vec<Want>,
+    /// Pools that had none, and until when they are left alone.
+    paused: BTreeMap<Pool, Micros>,
+}
+
+/// Room that is expected: a machine that boots, is being rented, or is about to be rented.
+struct Bin {
+    pool: Pool,
+    free: Room,
+    new: bool,
+}
+
+impl Scheduler {
+    /// What to rent and give back. `wall` is the time of day in microseconds.
+    pub fn plan_fleet(&mut self, now: Micros, wall: u64) -> FleetPlan {
+        self.give_up_lost(now);
+        self.give_up_for_cancels(wall);
+        self.give_up_idle(now, wall);
+        FleetPlan {
+            rent: self.plan_rentals(now, wall),
+            give_back: self
+                .machines
+                .iter()
+                .filter(|(_, m)| m.life == Life::Returning)
+                .map(|(id, _)| id.clone())
+                .collect(),
+        }
+    }
+
+    /// Takes in what is known of a machine, and moves its tasks' zone counts along.
+    pub(super) fn learn_machine(
+        &mut self,
+        id: &MachineId,
+        rig: &str,
+        zone: &str,
+        spot: bool,
+        now: Micros,
+    ) {
+        let total = self.flavors.get(rig).map(Flavor::room);
+        let m = self
+            .machines
+            .entry(id.clone())
+            .or_insert_with(|| unknown_machine(now));
+        if m.rig == rig && m.zone == zone && m.spot == spot && m.total != Room::default() {
+            return;
+        }
+        m.rig = rig.to_owned();
+        m.spot = spot;
+        m.total = total.unwrap_or_default();
+        let before = std::mem::replace(&mut m.zone, zone.to_owned());
+        if before == zone {
+            return;
+        }
+        for task in m.held.keys() {
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                if let Some(n) = job.live_in.get_mut(&before) {
+                    *n = n.saturating_sub(1);
+                }
+                *job.live_in.entry(zone.to_owned()).or_default() += 1;
+            }
+        }
+    }
+
+    /// Machines that an earlier leader rented, which the list may not show yet.
+    pub fn inherit_rented(&mut self, pool: &Pool, machines: &[MachineId], now: Micros) {
+        for id in machines {
+            if !self.gone.contains(id) {
+                self.learn_machine(id, &pool.rig, &pool.zone, pool.spot, now);
+            }
+        }
+    }
+
+    /// A rental request is on its way.
+    pub fn rent_started(&mut self, want: &Want) {
+        self.fleet.renting.push(want.clone());
+    }
+
+    /// A rental request was answered: the machines, or none where it failed.
+    pub fn rent_done(&mut self, want: &Want, machines: &[MachineId], now: Micros) {
+        if let Some(i) = self.fleet.renting.iter().position(|w| w == want) {
+            self.fleet.renting.swap_remove(i);
+        }
+        if machines.len() < want.count {
+            self.fleet
+                .paused
+                .insert(want.pool.clone(), now + POOL_PAUSE);
+        }
+        self.inherit_rented(&want.pool, machines, now);
+    }
+
+    /// The cloud confirmed that these machines are gone, with everything on them.
+    pub fn returned(&mut self, machines: &[MachineId], now: Micros) {
+        for id in machines {
+            let held: Vec<TaskId> = match self.machines.get(id) {
+                Some(m) => m.held.keys().cloned().collect(),
+                None => Vec::new(),
+            };
+            for task in held {
+                self.release(&task.job, task.index);
+                self.requeue(&task.job, now);
+            }
+            self.machines.remove(id);
+            if self.gone.insert(id.clone()) {
+                self.gone_order.push_back(id.clone());
+            }
+            if self.gone_order.len() > GONE_KEPT
+                && let Some(old) = self.gone_order.pop_front()
+            {
+                self.gone.remove(&old);
+            }
+        }
+    }
+
+    /// Takes in the machine list, which lags.
+    pub fn on_list(&mut self, list: &[Listed], now: Micros) {
+        let lag = self.knobs.list_lag;
+        let mut listed = HashSet::new();
+        for entry in list {
+            listed.insert(&entry.machine);
+            if self.gone.contains(&entry.machine) {
+                continue;
+            }
+            let known = self.machines.contains_key(&entry.machine);
+            self.learn_machine(&entry.machine, &entry.rig, &entry.zone, entry.spot, now);
+            let Some(m) = self.machines.get_mut(&entry.machine) else {
+                continue;
+            };
+            if !known {
+                m.since = now.since(Micros::from_secs_f64(entry.age_s));
+            }
+            m.listed_at.get_or_insert(now);
+            if entry.status == ListedStatus::Failed && !m.lost {
+                m.lost = true;
+            }
+        }
+        for (id, m) in &mut self.machines {
+            // A list may be older than the one before it, by twice the lag at most: only what is older than that
+            // can be missed for being gone.
+            let old = now.since(m.since) > lag.scaled(3, 1) + Micros::secs(1);
+            if m.listed_at.is_some() && old && !listed.contains(id) {
+                m.lost = true;
+            }
+        }
+    }
+
+    /// Machines that are lost, silent or stuck are given back, as only then their tasks may run elsewhere.
+    fn give_up_lost(&mut self, now: Micros) {
+        let mut give_up: Vec<(MachineId, &str)> = Vec::new();
+        for (id, m) in &self.machines {
+            if m.life == Life::Returning {
+                continue;
+            }
+            let boot = self
+                .flavors
+                .get(&m.rig)
+                .map_or(Micros::secs(60), Flavor::boot);
+            if m.lost {
+                give_up.push((id.clone(), "lost"));
+            } else if m.life == Life::Booting
+                && m.held.is_empty()
+                && now.since(m.since) > boot.scaled(5, 2) + Micros::secs(5)
+                && now.since(m.heard_at) > boot
+            {
+                give_up.push((id.clone(), "stuck"));
+            }
+        }
+        give_up.extend(self.silent(now).into_iter().map(|id| (id, "silent")));
+        for (id, why) in give_up {
+            let Some(m) = self.machines.get_mut(&id) else {
+                continue;
+            };
+            m.life = Life::Returning;
+            let tasks: Vec<String> = m.held.keys().map(TaskId::to_string).collect();
+            let quiet = now.since(m.heard_at);
+            self.notes.push(format!(
+                "event=machine_vanished machine={id} why={why} zone={} spot={} quiet={quiet} tasks=[{}]",
+                m.zone,
+                m.spot,
+                tasks.join(",")
+            ));
+        }
+    }
+
+    /// Machines silent for so long that they count as dead.
+    ///
+    /// Guards against taking a cut, or a controller's own trouble, for deaths: when much of a zone falls silent
+    /// together, it is given up only once the workers' leases are over; a wave of taken spot machines excepted.
+    fn silent(&self, now: Micros) -> Vec<MachineId> {
+        let step = self.knobs.report.scaled(5, 4) + Micros::secs(1);
+        let one_move = step + WORKER_MOVES_ON;
+        let two_moves = one_move + WORKER_MOVES_ON;
+        let young = now.since(self.began) < Micros::secs(30);
+        let patience = if young { two_moves } else { one_move };
+        let lease = self.knobs.lease + step;
+        let mut zones: BTreeMap<&str, (usize, usize, usize)> = BTreeMap::new();
+        let counted = |m: &Machine| m.life == Life::Up || !m.held.is_empty();
+        for m in self.machines.values().filter(|m| counted(m)) {
+            let (all, quiet, quiet_spot) = zones.entry(&m.zone).or_default();
+            *all += 1;
+            if now.since(m.heard_at) > patience {
+                *quiet += 1;
+                *quiet_spot += usize::from(m.spot);
+            }
+        }
+        let mut silent = Vec::new();
+        for (id, m) in &self.machines {
+            let quiet_for = now.since(m.heard_at);
+            if m.life == Life::Returning || !counted(m) || quiet_for <= patience {
+                continue;
+            }
+            let (all, quiet, quiet_spot) = zones[m.zone.as_str()];
+            let few = quiet <= (all / 4).max(2);
+            let wave = m.spot && quiet == quiet_spot;
+            let noticed = m.notice.is_some_and(|t| t < now);
+            if few || wave || noticed || quiet_for > lease.max(two_moves) {
+                silent.push(id.clone());
+            }
+        }
+        silent
+    }
+
+    /// A machine that could not be told of a cancellation in good time goes back with the cancelled task.
+    fn give_up_for_cancels(&mut self, wall: u64) {
+        let patience = self.knobs.cancel.scaled(3, 5).0;
+        let mut overdue = Vec::new();
+        for job in self.jobs.values() {
+            let Some(end) = job.end else { continue };
+            if job.live > 0 && wall > end.at.saturating_add(patience) {
+                overdue
+                    .extend(live_tasks(job).map(|(_, p)| (p.machine.clone(), job.spec.id.clone())));
+            }
+        }
+        for (id, job) in overdue {
+            if let Some(m) = self.machines.get_mut(&id)
+                && m.life != Life::Returning
+            {
+                m.life = Life::Returning;
+                self.notes.push(format!(
+                    "event=machine_given_up machine={id} why=cancelled_task_left job={job}"
+                ));
+            }
+        }
+    }
+
+    /// Gives back machines that stood empty long enough, the highest ids first, down to the reserve.
+    fn give_up_idle(&mut self, now: Micros, wall: u64) {
+        let reserve = self.reserve(wall);
+        let mut spare = match &reserve {
+            Some((spec, places)) => self.free_places(spec).saturating_sub(*places),
+            None => usize::MAX,
+        };
+        let mut idle = Vec::new();
+        for (id, m) in self.machines.iter().rev() {
+            let Some(since) = m.idle_since else { continue };
+            if !m.is_empty() || now.since(m.heard_at) > self.knobs.report.scaled(2, 1) {
+                continue;
+            }
+            let drained = m.life == Life::Draining;
+            let stale = m.life == Life::Up
+                && now.since(since) >= self.knobs.idle
+                && now.since(m.since) >= LEAST_CHARGE;
+            if drained {
+                idle.push(id.clone());
+            } else if stale {
+                let places = reserve.as_ref().map_or(0, |(spec, _)| places_on(m, spec));
+                if places <= spare {
+                    spare -= places;
+                    idle.push(id.clone());
+                }
+            }
+        }
+        for id in idle {
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.life = Life::Returning;
+                self.notes
+                    .push(format!("event=machine_idle machine={id} zone={}", m.zone));
+            }
+        }
+    }
+
+    /// The places to keep for tasks that can't wait for a boot, with a job that stands for them.
+    fn reserve(&self, wall: u64) -> Option<(Rc<JobSpec>, usize)> {
+        let mut newest: Option<&Job> = None;
+        let mut recent = 0;
+        let mut running = 0;
+        for job in self.jobs.values().filter(|j| !j.ending) {
+            if !self.knobs.wait_within.contains_key(&job.spec.class) || job.spec.spot {
+                continue;
+            }
+            running += job.live;
+            if wall.saturating_sub(job.at) < ARRIVALS_OVER.0 {
+                recent += job.spec.tasks;
+            }
+            if newest.is_none_or(|n| n.at < job.at) {
+                newest = Some(job);
+            }
+        }
+        let spec = newest?.spec.clone();
+        if let Some(fixed) = self.knobs.reserve {
+            return Some((spec, fixed as usize));
+        }
+        let boot = self.flavors.values().map(Flavor::boot).min()?;
+        let within = self.knobs.wait_within.get(&spec.class)?;
+        if boot < *within {
+            return None;
+        }
+        let in_a_boot = (u64::from(recent) * boot.0).div_ceil(ARRIVALS_OVER.0);
+        let most = u64::from(running / 8).max(2);
+        Some((spec, in_a_boot.clamp(1, most) as usize))
+    }
+
+    /// Places for such tasks on machines that are up.
+    fn free_places(&self, spec: &JobSpec) -> usize {
+        self.machines
+            .values()
+            .filter(|m| m.life == Life::Up && m.notice.is_none())
+            .map(|m| places_on(m, spec))
+            .sum()
+    }
+
+    /// What to rent for waiting tasks that neither free nor coming room will hold, and for the reserve.
+    fn plan_rentals(&mut self, now: Micros, wall: u64) -> Vec<Want> {
+        // A new leader first hears what there is.
+        if now.since(self.began) < self.knobs.report.scaled(5, 4) + Micros::secs(1)
+            && !self.machines.is_empty()
+        {
+            return Vec::new();
+        }
+        let mut bins = self.coming(now);
+        let mut planned_use: BTreeMap<String, Room> = BTreeMap::new();
+        let mut left = TASKS_PER_ROUND;
+        for id in self.waiting_jobs(now) {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let spec = job.spec.clone();
+            let need = spec.need();
+            let mut in_zone: BTreeMap<String, u32> = BTreeMap::new();
+            for _ in 0..job.waiting() {
+                let planned = planned_use.entry(spec.team.clone()).or_default();
+                if left == 0 || !self.within_limit(&spec.team, &(*planned + need)) {
+                    break;
+                }
+                let Some(zone) = self.plan_task(job, &in_zone, &mut bins, now) else {
+                    break;
+                };
+                *planned += need;
+                *in_zone.entry(zone).or_default() += 1;
+                left -= 1;
+            }
+        }
+        if let Some((spec, places)) = self.reserve(wall) {
+            let job = reserve_job(spec.clone());
+            let have = self.free_places(&spec);
+            for _ in have..places {
+                if self
+                    .plan_task(&job, &BTreeMap::new(), &mut bins, now)
+                    .is_none()
+                {
+                    break;
+                }
+            }
+        }
+        let mut wants: BTreeMap<Pool, usize> = BTreeMap::new();
+        for bin in bins.into_iter().filter(|b| b.new) {
+            *wants.entry(bin.pool).or_default() += 1;
+        }
+        let mut allowed = self.knobs.rent_per_round;
+        let mut rent = Vec::new();
+        for (pool, count) in wants {
+            let count = count.min(allowed);
+            allowed -= count;
+            if count > 0 {
+                rent.push(Want { pool, count });
+            }
+        }
+        rent
+    }
+
+    /// Jobs with waiting tasks in the order in which they are offered, those that back off left out.
+    fn waiting_jobs(&self, now: Micros) -> Vec<JobId> {
+        let mut waiting: Vec<&Job> = self
+            .jobs
+            .values()
+            .filter(|j| j.waiting() > 0 && j.next_try <= now + Micros::secs(2))
+            .collect();
+        waiting.sort_by_key(|j| (std::cmp::Reverse(j.spec.priority), j.at, j.spec.id.clone()));
+        waiting.into_iter().map(|j| j.spec.id.clone()).collect()
+    }
+
+    /// Room that comes without renting anything more.
+    fn coming(&self, now: Micros) -> Vec<Bin> {
+        let mut bins = Vec::new();
+        for m in self.machines.values() {
+            let boot = self
+                .flavors
+                .get(&m.rig)
+                .map_or(Micros::secs(60), Flavor::boot);
+            let on_its_way = m.life == Life::Booting
+                && m.total != Room::default()
+                && !m.lost
+                && now.since(m.since) < boot.scaled(2, 1);
+            let mut free = m.free();
+            let mut stops = false;
+            if m.life == Life::Up && m.notice.is_none() {
+                for (task, need) in &m.held {
+                    let p = self.jobs.get(&task.job);
+                    if p.and_then(|j| j.placement(task.index))
+                        .is_some_and(|p| p.stopping.is_some())
+                    {
+                        free += *need;
+                        stops = true;
+                    }
+                }
+            }
+            if on_its_way || stops {
+                bins.push(Bin {
+                    pool: Pool {
+                        rig: m.rig.clone(),
+                        zone: m.zone.clone(),
+                        spot: m.spot,
+                    },
+                    free,
+                    new: false,
+                });
+            }
+        }
+        for want in &self.fleet.renting {
+            let Some(flavor) = self.flavors.get(&want.pool.rig) else {
+                continue;
+            };
+            for _ in 0..want.count {
+                bins.push(Bin {
+                    pool: want.pool.clone(),
+                    free: flavor.room(),
+                    new: false,
+                });
+            }
+        }
+        bins
+    }
+
+    /// Finds coming room for a task, or adds a machine to rent; the zone, or none where nothing can be had.
+    fn plan_task(
+        &self,
+        job: &Job,
+        in_zone: &BTreeMap<String, u32>,
+        bins: &mut Vec<Bin>,
+        now: Micros,
+    ) -> Option<String> {
+        let spec = &job.spec;
+        let need = spec.need();
+        let zone_fits = |zone: &str| {
+            let here = in_zone.get(zone).copied().unwrap_or(0);
+            let elsewhere: u32 = in_zone.values().sum::<u32>() - here;
+            zone_takes(job, zone, here) && !(spec.together && elsewhere > 0)
+        };
+        let fit = bins.iter_mut().find(|b| {
+            b.free.holds(&need)
+                && spec.allows(&b.pool.rig, &b.pool.zone, b.pool.spot)
+                && zone_fits(&b.pool.zone)
+        });
+        if let Some(bin) = fit {
+            bin.free -= need;
+            return Some(bin.pool.zone.clone());
+        }
+        if bins.iter().filter(|b| b.new).count() >= self.knobs.rent_per_round {
+            return None;
+        }
+        let (pool, room) = self.choose_pool(spec, bins, now, zone_fits)?;
+        let zone = pool.zone.clone();
+        bins.push(Bin {
+            pool,
+            free: room - need,
+            new: true,
+        });
+        Some(zone)
+    }
+
+    /// The pool where a place for such a task is cheapest; among equals the zone with the fewest machines.
+    fn choose_pool(
+        &self,
+        spec: &JobSpec,
+        bins: &[Bin],
+        now: Micros,
+        zone_fits: impl Fn(&str) -> bool,
+    ) -> Option<(Pool, Room)> {
+        let need = spec.need();
+        let mut best: Option<((f64, usize), Pool, Room)> = None;
+        for flavor in self.flavors.values() {
+            let room = flavor.room();
+            let places = room.count_of(&need).min(1_000);
+            if places == 0 {
+                continue;
+            }
+            for zone in flavor.zones.iter().filter(|z| zone_fits(z)) {
+                for spot in [true, false] {
+                    let pool = Pool {
+                        rig: flavor.name.clone(),
+                        zone: zone.clone(),
+                        spot,
+                    };
+                    if !spec.allows(&pool.rig, zone, spot)
+                        || self.fleet.paused.get(&pool).is_some_and(|t| *t > now)
+                    {
+                        continue;
+                    }
+                    let price = if spot {
+                        flavor.spot_price
+                    } else {
+                        flavor.price
+                    };
+                    let there = self.machines.values().filter(|m| m.zone == *zone).count()
+                        + bins
+                            .iter()
+                            .filter(|b| b.new && b.pool.zone == *zone)
+                            .count();
+                    let rank = (price / places as f64, there);
+                    if best.as_ref().is_none_or(|(r, _, _)| rank < *r) {
+                        best = Some((rank, pool, room));
+                    }
+                }
+            }
+        }
+        best.map(|(_, pool, room)| (pool, room))
+    }
+}
+
+/// How many such tasks a machine could take beside what it holds.
+fn places_on(m: &Machine, spec: &JobSpec) -> usize {
+    if spec.allows(&m.rig, &m.zone, m.spot) {
+        m.free().count_of(&spec.need()).min(1_000)
+    } else {
+        0
+    }
+}
+
+/// A job without tasks of its own that stands for the reserve.
+fn reserve_job(spec: Rc<JobSpec>) -> Job {
+    Job {
+        spec,
+        at: 0,
+        end: None,
+        ending: false,
+        chunks: BTreeMap::new(),
+        done: 0,
+        live: 0,
+        live_in: BTreeMap::new(),
+        next_try: Micros::ZERO,
+        failed_on: BTreeSet::new(),
+        failures: 0,
+        waiting_since: Micros::ZERO,
+    }
+}
--- /dev/null
+++ b/src/scheduler/offers.rs
@@ -0,0 +1,181 @@
+//! The ordinary path: due jobs are offered to machines in id order, and the first that accepts takes the task.
+
+use super::*;
+
+/// Tasks of one job placed in one round, so that one huge job can't take the whole round.
+const TASKS_PER_JOB: usize = 512;
+
+/// A machine as a round sees it.
+struct Candidate {
+    id: MachineId,
+    free: Room,
+}
+
+impl Scheduler {
+    /// One round: offers every due job, then makes room for what must not wait.
+    pub fn round(&mut self, now: Micros) {
+        self.offers_made = 0;
+        let guaranteed = self.guaranteed_jobs();
+        let due = self.due_jobs(&guaranteed, now);
+        if due.is_empty() {
+            return;
+        }
+        let mut machines = self.candidates();
+        let sample = self.sample_size(due.len(), machines.len());
+        for id in &due {
+            if sample < machines.len() {
+                let picked = self.sample(&machines, sample);
+                self.offer(id, &mut machines, &picked, now);
+            } else {
+                let all: Vec<usize> = (0..machines.len()).collect();
+                self.offer(id, &mut machines, &all, now);
+            }
+            let jitter = self.rng.u64(0..=self.knobs.jitter.0);
+            if let Some(job) = self.jobs.get_mut(id)
+                && job.waiting() > 0
+            {
+                job.next_try = now + self.knobs.retry + Micros(jitter);
+            }
+        }
+        self.preempt_for(&due, &guaranteed, now);
+    }
+
+    /// Jobs to offer now: by priority, guarantees before borrowing, then age.
+    fn due_jobs(&self, guaranteed: &HashSet<JobId>, now: Micros) -> Vec<JobId> {
+        let mut due: Vec<&Job> = self
+            .jobs
+            .values()
+            .filter(|j| j.next_try <= now && j.waiting() > 0)
+            .collect();
+        due.sort_by_key(|j| {
+            (
+                std::cmp::Reverse(j.spec.priority),
+                !guaranteed.contains(&j.spec.id),
+                j.at,
+                j.spec.id.clone(),
+            )
+        });
+        due.into_iter().map(|j| j.spec.id.clone()).collect()
+    }
+
+    /// Machines that take offers, in id order.
+    fn candidates(&self) -> Vec<Candidate> {
+        self.machines
+            .iter()
+            .filter(|(_, m)| m.life == Life::Up && m.notice.is_none() && !m.lost)
+            .map(|(id, m)| Candidate {
+                id: id.clone(),
+                free: m.free(),
+            })
+            .collect()
+    }
+
+    /// How many machines each job may be offered to within the round's allowance.
+    fn sample_size(&self, jobs: usize, machines: usize) -> usize {
+        let fair = self.knobs.offers_per_round / jobs.max(1);
+        if fair >= machines {
+            machines
+        } else {
+            fair.max(8)
+        }
+    }
+
+    /// A random sample of the machines that have room, in id order.
+    fn sample(&mut self, machines: &[Candidate], size: usize) -> Vec<usize> {
+        let mut all: Vec<usize> = (0..machines.len())
+            .filter(|i| machines[*i].free.cores > 0)
+            .collect();
+        let size = size.min(all.len());
+        for i in 0..size {
+            let j = self.rng.usize(i..all.len());
+            all.swap(i, j);
+        }
+        all.truncate(size);
+        all.sort_unstable();
+        all
+    }
+
+    /// Offers a job's waiting tasks; machines that have its image, or are fetching it, are asked first.
+    fn offer(&mut self, id: &JobId, machines: &mut [Candidate], order: &[usize], now: Micros) {
+        let Some(spec) = spec_of(&self.jobs, id) else {
+            return;
+        };
+        let need = spec.need();
+        let mut next = 0;
+        let mut budget = TASKS_PER_JOB;
+        for with_image in [true, false] {
+            for &i in order {
+                self.offers_made += 1;
+                let candidate = &mut machines[i];
+                if !candidate.free.holds(&need)
+                    || (with_image && !self.machines[&candidate.id].has_image(&spec.image))
+                {
+                    continue;
+                }
+                while budget > 0
+                    && candidate.free.holds(&need)
+                    && self.accepts(id, &spec, &candidate.id)
+                {
+                    let Some(index) = self.jobs.get(id).and_then(|j| j.next_waiting(next)) else {
+                        return;
+                    };
+                    if !self.within_limit(&spec.team, &need) {
+                        return;
+                    }
+                    self.place(id, index, &candidate.id, now);
+                    candidate.free -= need;
+                    next = index + 1;
+                    budget -= 1;
+                }
+            }
+        }
+    }
+
+    /// Whether a machine may take one more task of the job, room and team limit aside.
+    pub(super) fn accepts(&self, id: &JobId, spec: &JobSpec, machine: &MachineId) -> bool {
+        let (Some(m), Some(job)) = (self.machines.get(machine), self.jobs.get(id)) else {
+            return false;
+        };
+        spec.allows(&m.rig, &m.zone, m.spot)
+            && !job.failed_on.contains(machine)
+            && zone_takes(job, &m.zone, 0)
+    }
+
+    fn place(&mut self, id: &JobId, index: u32, machine: &MachineId, now: Micros) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let chunk = job.chunks.entry(index / CHUNK).or_default();
+        chunk.last_attempt += 1;
+        chunk.dirty = true;
+        chunk.live.insert(
+            (index % CHUNK) as u8,
+            Placement {
+                machine: machine.clone(),
+                attempt: chunk.last_attempt,
+                committed: false,
+                inherited: false,
+                sent: None,
+                seen: None,
+                running_since: None,
+                stopping: None,
+            },
+        );
+        self.dirty.insert((id.clone(), index / CHUNK));
+        self.hold(id, index, machine, now);
+        self.note_image(machine, &spec);
+    }
+}
+
+/// Whether one more task of the job may be in the zone, beside those placed and `planned` more there.
+///
+/// Tasks on machines whose zone is not known yet count against every zone.
+pub(super) fn zone_takes(job: &Job, zone: &str, planned: u32) -> bool {
+    let unknown = job.live_in.get("").copied().unwrap_or(0);
+    let here = job.live_in.get(zone).copied().unwrap_or(0);
+    if job.spec.together && job.live > here {
+        return false;
+    }
+    here + unknown + planned < job.spec.zone_cap()
+}
--- /dev/null
+++ b/src/scheduler/reports.rs
@@ -0,0 +1,432 @@
+//! What reports prove, and the orders that go into their answers.
+
+use super::*;
+
+/// A job that failed on so many machines is itself at fault.
+const JOB_AT_FAULT: usize = 3;
+/// A machine that failed tasks of so many jobs, with none succeeding since, is itself at fault.
+const MACHINE_AT_FAULT: usize = 2;
+/// Longest pause for a job that keeps failing.
+const MOST_BACKOFF: Micros = Micros::secs(30);
+/// Pause after a worker refused a start.
+const REFUSED_BACKOFF: Micros = Micros::secs(1);
+/// Most orders in one answer, so that its line stays below the protocol's limit.
+const MOST_ORDERS: usize = 400;
+
+/// What a report brought.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Heard {
+    /// Whether it is the newest of its machine; an older one changes nothing and gets no orders.
+    pub fresh: bool,
+    /// Whether something is to be written or offered on account of it.
+    pub changed: bool,
+}
+
+impl Scheduler {
+    /// Takes in a report.
+    pub fn on_report(&mut self, r: &Report, now: Micros) -> Heard {
+        // Late reports of machines that are gone must not bring them back.
+        if self.gone.contains(&r.machine) {
+            return Heard::default();
+        }
+        if !self.machines.contains_key(&r.machine) {
+            self.notes
+                .push(format!("event=machine_unexpected machine={}", r.machine));
+        }
+        self.learn_machine(&r.machine, &r.rig, &r.zone, r.spot, now);
+        let Some(m) = self.machines.get_mut(&r.machine) else {
+            return Heard::default();
+        };
+        let at = (r.session, r.seq);
+        if m.newest.is_some_and(|newest| at <= newest) {
+            return Heard::default();
+        }
+        m.newest = Some(at);
+        m.heard_at = now;
+        if m.life == Life::Booting {
+            m.life = Life::Up;
+            m.idle_since = Some(now);
+            let took = now.since(m.since);
+            self.notes.push(format!(
+                "event=machine_up machine={} zone={} spot={} after={took}",
+                r.machine, r.zone, r.spot
+            ));
+        }
+        let noticed = r.notice_s.is_some() && m.notice.is_none();
+        m.notice = r.notice_s.map(|s| now + Micros::from_secs_f64(s));
+        let mut changed = self.compare_held(r, now);
+        changed |= self.take_others(r, now);
+        if noticed {
+            self.notes
+                .push(format!("event=machine_notice machine={}", r.machine));
+            self.drain_for_notice(&r.machine);
+        }
+        if let Some(m) = self.machines.get_mut(&r.machine) {
+            if !m.is_empty() {
+                m.idle_since = None;
+            } else if m.idle_since.is_none() {
+                m.idle_since = Some(now);
+            }
+        }
+        Heard {
+            fresh: true,
+            changed,
+        }
+    }
+
+    /// Compares placements on the machine with what it reports.
+    fn compare_held(&mut self, r: &Report, now: Micros) -> bool {
+        let at = (r.session, r.seq);
+        let reported: BTreeMap<(&str, u64), &ReportedTask> = r
+            .tasks
+            .iter()
+            .map(|t| ((t.task.as_str(), t.attempt), t))
+            .collect();
+        let held: Vec<TaskId> = match self.machines.get(&r.machine) {
+            Some(m) => m.held.keys().cloned().collect(),
+            None => return false,
+        };
+        let mut changed = false;
+        for task in held {
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let wanted = !job.ending;
+            let spec = job.spec.clone();
+            let Some(p) = job.placement_mut(task.index) else {
+                continue;
+            };
+            let name = task.to_string();
+            if let Some(t) = reported.get(&(name.as_str(), p.attempt)) {
+                if r.token == self.token {
+                    // The worker has seen this leader's token, so no start of an earlier leader can follow.
+                    p.inherited = false;
+                    p.sent = Some(at);
+                }
+                p.seen = Some(t.state);
+                match t.state {
+                    TaskState::Exited => {
+                        changed = true;
+                        self.task_exited(&task, &r.machine, t.cause, now);
+                    }
+                    TaskState::Running if p.running_since.is_none() => {
+                        p.running_since = Some(now);
+                        self.note_image(&r.machine, &spec);
+                    }
+                    _ => {}
+                }
+                continue;
+            }
+            // Absence proves that a task is off its machine only if no start can still reach it: one of an earlier
+            // leader's until the worker has seen this leader's token, one of this leader's until a report that is
+            // newer than the one whose answer carried the start.
+            let proven = if p.inherited {
+                r.token == self.token
+            } else {
+                p.sent.is_some_and(|sent| at > sent)
+            };
+            if !proven {
+                continue;
+            }
+            if !p.inherited && p.seen.is_none() && p.stopping.is_none() && wanted {
+                // The answer with the start was lost; the same attempt goes out again.
+                p.sent = None;
+                continue;
+            }
+            changed = true;
+            self.release(&task.job, task.index);
+            self.requeue(&task.job, now);
+        }
+        changed
+    }
+
+    /// A placed task ended.
+    fn task_exited(
+        &mut self,
+        task: &TaskId,
+        machine: &MachineId,
+        cause: Option<ExitCause>,
+        now: Micros,
+    ) {
+        if cause == Some(ExitCause::Done) {
+            self.finish(&task.job, task.index);
+            if let Some(m) = self.machines.get_mut(machine) {
+                m.failed_jobs.clear();
+            }
+            return;
+        }
+        let placement = self.release(&task.job, task.index);
+        if placement.is_some_and(|p| p.stopping == Some(StopReason::Preempted)) {
+            self.wake_all(now);
+        }
+        self.requeue(&task.job, now);
+        match cause {
+            Some(ExitCause::Error) => self.task_failed(task, machine, now),
+            Some(ExitCause::NoRoom | ExitCause::Busy | ExitCause::Unknown) => {
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    job.next_try = now + REFUSED_BACKOFF;
+                }
+                self.notes.push(format!(
+                    "event=start_refused task={task} machine={machine} cause={cause:?}"
+                ));
+            }
+            _ => {}
+        }
+    }
+
+    /// Guards against the design's crack: a job that fails everywhere would land on the same low machine for ever,
+    /// and a machine that fails everything would be offered every job first.
+    fn task_failed(&mut self, task: &TaskId, machine: &MachineId, now: Micros) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        job.failed_on.insert(machine.clone());
+        job.failures += 1;
+        if job.failed_on.len() >= JOB_AT_FAULT {
+            let pause = Micros::secs(1 << job.failures.min(5)).min(MOST_BACKOFF);
+            job.next_try = now + pause;
+            let blamed = std::mem::take(&mut job.failed_on);
+            self.notes.push(format!(
+                "event=job_fails_everywhere job={} pause={pause}",
+                task.job
+            ));
+            for m in blamed {
+                if let Some(m) = self.machines.get_mut(&m) {
+                    m.failed_jobs.remove(&task.job);
+                }
+            }
+            return;
+        }
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
+        m.failed_jobs.insert(task.job.clone());
+        if m.failed_jobs.len() >= MACHINE_AT_FAULT && m.life == Life::Up {
+            m.life = Life::Draining;
+            self.notes
+                .push(format!("event=machine_sick machine={machine}"));
+        }
+    }
+
+    /// Deals with what is reported but not placed: stale attempts, strangers, tasks that ended before.
+    fn take_others(&mut self, r: &Report, now: Micros) -> bool {
+        let mut exited = Vec::new();
+        let mut extra = BTreeMap::new();
+        let mut changed = false;
+        for t in &r.tasks {
+            let Some(task) = TaskId::parse(&t.task) else {
+                self.notes.push(format!(
+                    "event=odd_task machine={} task={:?}",
+                    r.machine, t.task
+                ));
+                continue;
+            };
+            let job = self.jobs.get(&task.job);
+            let placed = job.and_then(|j| j.placement(task.index));
+            if placed.is_some_and(|p| p.machine == r.machine && p.attempt == t.attempt) {
+                continue;
+            }
+            let open = job.is_some_and(|j| {
+                !j.ending && task.index < j.spec.tasks && !j.is_finished(task.index)
+            });
+            if t.state == TaskState::Exited {
+                // A completion counts whatever attempt it was, unless another attempt is under way.
+                if open && placed.is_none() && t.cause == Some(ExitCause::Done) {
+                    self.finish(&task.job, task.index);
+                    changed = true;
+                }
+                exited.push((task, t.attempt));
+            } else if open && placed.is_none() {
+                // Runs without a placement: taking it over keeps it from being started elsewhere.
+                self.adopt(&task, r, t, now);
+                changed = true;
+            } else {
+                let need = job.map(|j| j.spec.need());
+                extra.insert((task, t.attempt), need);
+            }
+        }
+        let Some(m) = self.machines.get_mut(&r.machine) else {
+            return changed;
+        };
+        for room in m.extra.values() {
+            m.used -= *room;
+        }
+        // Nobody knows what a stranger takes: the machine counts as full until it is gone.
+        let total = m.total;
+        m.extra = extra
+            .into_iter()
+            .map(|(task, need)| (task, need.unwrap_or(total)))
+            .collect();
+        for room in m.extra.values() {
+            m.used += *room;
+        }
+        m.exited = exited;
+        changed
+    }
+
+    fn adopt(&mut self, task: &TaskId, r: &Report, t: &ReportedTask, now: Micros) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let chunk = job.chunks.entry(task.index / CHUNK).or_default();
+        chunk.last_attempt = chunk.last_attempt.max(t.attempt);
+        chunk.dirty = true;
+        chunk.live.insert(
+            (task.index % CHUNK) as u8,
+            Placement {
+                machine: r.machine.clone(),
+                attempt: t.attempt,
+                committed: false,
+                inherited: r.token != self.token,
+                sent: Some((r.session, r.seq)),
+                seen: Some(t.state),
+                running_since: None,
+                stopping: None,
+            },
+        );
+        self.dirty.insert((task.job.clone(), task.index / CHUNK));
+        self.hold(&task.job, task.index, &r.machine, now);
+        self.notes.push(format!(
+            "event=task_adopted task={task} machine={}",
+            r.machine
+        ));
+    }
+
+    /// Makes a job with waiting tasks due at once.
+    pub(super) fn requeue(&mut self, id: &JobId, now: Micros) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.next_try = job.next_try.min(now);
+            job.waiting_since = now;
+        }
+    }
+
+    /// Makes all waiting jobs due, as room was made for one of them.
+    fn wake_all(&mut self, now: Micros) {
+        for job in self.jobs.values_mut() {
+            if job.failures == 0 {
+                job.next_try = job.next_try.min(now);
+            }
+        }
+    }
+
+    pub(super) fn note_image(&mut self, machine: &MachineId, spec: &JobSpec) {
+        if let Some(m) = self.machines.get_mut(machine) {
+            let cache = self
+                .flavors
+                .get(&m.rig)
+                .map_or(f64::INFINITY, |f| f.cache_gb);
+            m.note_image(&spec.image, spec.image_gb, cache);
+        }
+    }
+
+    /// The cloud will take the machine: what can save does so now, what has not begun goes elsewhere.
+    fn drain_for_notice(&mut self, machine: &MachineId) {
+        let Some(m) = self.machines.get(machine) else {
+            return;
+        };
+        for task in m.held.keys() {
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let saves = job.spec.save_slack() > 0.0;
+            if let Some(p) = job.placement_mut(task.index)
+                && p.stopping.is_none()
+                && (saves || p.running_since.is_none())
+            {
+                p.stopping = Some(StopReason::Drained);
+            }
+        }
+    }
+
+    /// The orders that go into the answer to a report; none if it is not the newest of its machine any more.
+    pub fn orders_for(&mut self, machine: &MachineId, report: (u64, u64)) -> Vec<Order> {
+        let Some(m) = self.machines.get(machine) else {
+            return Vec::new();
+        };
+        if m.newest != Some(report) {
+            return Vec::new();
+        }
+        let takes_starts = m.life == Life::Up && m.notice.is_none() && !m.lost;
+        let mut orders = Vec::new();
+        for (task, attempt) in &m.exited {
+            // A finish must be written before its worker forgets it.
+            let written = self.jobs.get(&task.job).is_none_or(|j| {
+                j.end.is_some() || !j.is_finished(task.index) || j.is_finish_committed(task.index)
+            });
+            if written {
+                orders.push(Order::Clear {
+                    task: task.to_string(),
+                    attempt: *attempt,
+                });
+            }
+        }
+        for (task, attempt) in m.extra.keys() {
+            orders.push(Order::Stop {
+                task: task.to_string(),
+                attempt: *attempt,
+                slack_s: 0.0,
+            });
+        }
+        let held: Vec<TaskId> = m.held.keys().cloned().collect();
+        let mut starts = Vec::new();
+        let mut unsent = Vec::new();
+        for task in held {
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let cancelled = job.ending;
+            let slack = job.spec.save_slack();
+            let Some(p) = job.placement_mut(task.index) else {
+                continue;
+            };
+            let never_sent = !p.inherited && p.sent.is_none();
+            if cancelled || p.stopping.is_some() {
+                if never_sent {
+                    unsent.push(task);
+                } else if cancelled || p.seen != Some(TaskState::Saving) {
+                    // What a cancelled task would save is of no use to anybody.
+                    orders.push(Order::Stop {
+                        task: task.to_string(),
+                        attempt: p.attempt,
+                        slack_s: if cancelled { 0.0 } else { slack.ceil() },
+                    });
+                }
+            } else if never_sent && !takes_starts {
+                unsent.push(task);
+            } else if never_sent && p.committed && starts.len() + orders.len() < MOST_ORDERS {
+                p.sent = Some(report);
+                starts.push(Order::Run {
+                    task: task.to_string(),
+                    attempt: p.attempt,
+                });
+            }
+        }
+        for task in unsent {
+            self.release(&task.job, task.index);
+        }
+        orders.truncate(MOST_ORDERS - starts.len());
+        orders.extend(starts);
+        orders
+    }
+
+    /// Whether the machine has placements whose starts wait only for being written.
+    pub fn awaits_write(&self, machine: &MachineId) -> bool {
+        self.machines.get(machine).is_some_and(|m| {
+            m.held.keys().any(|task| {
+                self.jobs
+                    .get(&task.job)
+                    .and_then(|j| j.placement(task.index))
+                    .is_some_and(|p| !p.committed)
+            })
+        })
+    }
+
+    /// Another controller hears these machines though their reports can't get here: they are alive.
+    pub fn on_heard(&mut self, machines: &[MachineId], now: Micros) {
+        for id in machines {
+            if let Some(m) = self.machines.get_mut(id) {
+                m.heard_at = now;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,384 @@
+//! The state service's client: typed answers, deadlines and a share of the common budget.
+
+use crate::http::{Client, HttpError};
+use crate::units::Micros;
+use async_io::Timer;
+use http_types::Method;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::time::Instant;
+use thiserror::Error;
+
+/// How long a request may take before its outcome counts as unknown.
+const CALL_WITHIN: Micros = Micros::millis(1_500);
+/// How long a watch may take beyond the time it asked for.
+const WATCH_MARGIN: Micros = Micros::secs(2);
+
+/// Why the state service did not do what was asked.
+#[derive(Debug, Error)]
+pub enum StateError {
+    /// Certainly not executed: 429, 503 or no connection.
+    #[error("refused: {0}")]
+    Refused(String),
+    /// May have been executed, or may be later.
+    #[error("no answer: {0}")]
+    Unknown(String),
+    /// The lease named is over.
+    #[error("no such lease")]
+    NoLease,
+    /// The watch began too far back.
+    #[error("watch too old")]
+    TooOld,
+    /// An answer that makes no sense.
+    #[error("malformed: {0}")]
+    Malformed(String),
+}
+
+/// A condition of a transaction: the key's version, 0 where it must not exist.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Condition {
+    /// The key.
+    #[serde(rename = "k")]
+    pub key: String,
+    /// Its version.
+    #[serde(rename = "stamp")]
+    pub version: u64,
+}
+
+/// A change within a transaction.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(untagged)]
+pub enum Change {
+    /// Writes a key.
+    Put {
+        /// The key.
+        #[serde(rename = "write")]
+        key: String,
+        /// The new value.
+        #[serde(rename = "data")]
+        value: Value,
+        /// The lease it hangs on.
+        #[serde(rename = "tenure", skip_serializing_if = "Option::is_none")]
+        lease: Option<u64>,
+    },
+    /// Removes a key.
+    Delete {
+        /// The key.
+        #[serde(rename = "delete")]
+        key: String,
+    },
+}
+
+/// What became of a transaction.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Outcome {
+    /// Applied at this revision.
+    Applied(u64),
+    /// Not applied: these keys were at other versions.
+    Conflict(Vec<String>),
+}
+
+/// A key with its value and version.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Item {
+    /// The key.
+    #[serde(rename = "k")]
+    pub key: String,
+    /// The value.
+    #[serde(rename = "data")]
+    pub value: Value,
+    /// The version.
+    #[serde(rename = "stamp")]
+    pub version: u64,
+}
+
+/// A page of keys.
+#[derive(Debug, Deserialize)]
+pub struct Page {
+    /// The keys, in order.
+    pub items: Vec<Item>,
+    /// Whether more follow.
+    pub more: bool,
+    /// The revision that the page describes.
+    #[serde(rename = "epoch")]
+    pub revision: u64,
+}
+
+/// A change seen by a watch.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(untagged)]
+pub enum Event {
+    /// A key was written.
+    Put {
+        /// The key.
+        #[serde(rename = "write")]
+        key: String,
+        /// The value.
+        #[serde(rename = "data")]
+        value: Value,
+        /// The version.
+        #[serde(rename = "stamp")]
+        version: u64,
+    },
+    /// A key was removed.
+    Delete {
+        /// The key.
+        #[serde(rename = "delete")]
+        key: String,
+        /// The revision of the removal.
+        #[serde(rename = "stamp")]
+        version: u64,
+    },
+}
+
+/// What a watch answered.
+#[derive(Debug, Deserialize)]
+pub struct News {
+    /// All changes up to this revision are told.
+    #[serde(rename = "epoch")]
+    pub revision: u64,
+    /// The changes in order.
+    #[serde(rename = "news", default)]
+    pub events: Vec<Event>,
+}
+
+#[derive(Deserialize)]
+struct Revision {
+    #[serde(rename = "epoch")]
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct Failed {
+    #[serde(default)]
+    failed: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Lease {
+    #[serde(rename = "tenure")]
+    id: u64,
+}
+
+/// How urgent a request is when the budget is short.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Urgency {
+    /// Lease renewals, elections, submissions, cancellations: never held back.
+    Now,
+    /// Everything else: waits for its share.
+    Paced,
+}
+
+/// A token bucket holding one second's worth.
+struct Bucket {
+    per_second: f64,
+    level: Cell<f64>,
+    filled: Cell<Instant>,
+}
+
+impl Bucket {
+    fn new(per_second: f64) -> Bucket {
+        Bucket {
+            per_second,
+            level: Cell::new(per_second),
+            filled: Cell::new(Instant::now()),
+        }
+    }
+
+    /// Takes `n`, perhaps below zero, and says how long to wait until it would not be.
+    fn take(&self, n: f64) -> Micros {
+        let now = Instant::now();
+        let gained = now.duration_since(self.filled.get()).as_secs_f64() * self.per_second;
+        self.filled.set(now);
+        // Debt is bounded so that a burst of urgent requests can't starve the paced ones for long.
+        let level = (self.level.get() + gained).min(self.per_second) - n;
+        self.level.set(level.max(-self.per_second));
+        Micros::from_secs_f64(-level / self.per_second)
+    }
+}
+
+/// The state service as one controller sees it.
+pub struct State {
+    client: Client,
+    /// Watches stay open for long: they have connections of their own.
+    watcher: Client,
+    requests: RefCell<Bucket>,
+    writes: RefCell<Bucket>,
+}
+
+impl State {
+    /// A client with its share of the budget.
+    pub fn new(addr: SocketAddr, rps: f64, write_rps: f64) -> State {
+        State {
+            client: Client::new(addr),
+            watcher: Client::new(addr),
+            requests: RefCell::new(Bucket::new(rps)),
+            writes: RefCell::new(Bucket::new(write_rps)),
+        }
+    }
+
+    /// Changes the share, as leading takes more of it than following.
+    pub fn set_share(&self, rps: f64, write_rps: f64) {
+        self.requests.borrow_mut().per_second = rps;
+        self.writes.borrow_mut().per_second = write_rps;
+    }
+
+    async fn pace(&self, urgency: Urgency, writes: usize) {
+        let wait = self
+            .requests
+            .borrow()
+            .take(1.0)
+            .max(self.writes.borrow().take(writes as f64));
+        if urgency == Urgency::Paced && wait > Micros::ZERO {
+            Timer::after(wait.into()).await;
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+    ) -> Result<(u16, Vec<u8>), StateError> {
+        match self.client.call(method, path, body, CALL_WITHIN).await {
+            Ok((status, bytes)) => sort_status(status, bytes),
+            Err(e) => {
+                self.client.forget_idle();
+                Err(no_answer(e))
+            }
+        }
+    }
+
+    /// Applies a transaction if its conditions hold.
+    pub async fn txn(
+        &self,
+        urgency: Urgency,
+        when: &[Condition],
+        writes: &[Change],
+    ) -> Result<Outcome, StateError> {
+        self.pace(urgency, writes.len()).await;
+        let body = serde_json::json!({ "when": when, "writes": writes });
+        let (status, bytes) = self
+            .call(Method::Post, "/txn", Some(encode(&body)?))
+            .await?;
+        match status {
+            200 => Ok(Outcome::Applied(parse::<Revision>(&bytes)?.revision)),
+            409 => Ok(Outcome::Conflict(parse::<Failed>(&bytes)?.failed)),
+            _ => Err(odd(status, &bytes)),
+        }
+    }
+
+    /// One key, or the current revision where it does not exist.
+    pub async fn get(&self, urgency: Urgency, key: &str) -> Result<Result<Item, u64>, StateError> {
+        self.pace(urgency, 0).await;
+        let (status, bytes) = self
+            .call(Method::Get, &format!("/keys/{key}"), None)
+            .await?;
+        match status {
+            200 => Ok(Ok(parse(&bytes)?)),
+            404 => Ok(Err(parse::<Revision>(&bytes)?.revision)),
+            _ => Err(odd(status, &bytes)),
+        }
+    }
+
+    /// A page of the keys with a prefix, beginning after `from`.
+    pub async fn list(&self, prefix: &str, from: &str) -> Result<Page, StateError> {
+        self.pace(Urgency::Paced, 0).await;
+        let mut path = format!("/keys?prefix={prefix}&page=1000");
+        if !from.is_empty() {
+            path.push_str(&format!("&from={from}"));
+        }
+        let (status, bytes) = self.call(Method::Get, &path, None).await?;
+        match status {
+            200 => parse(&bytes),
+            _ => Err(odd(status, &bytes)),
+        }
+    }
+
+    /// Waits for changes after `from`.
+    pub async fn watch(&self, prefix: &str, from: u64, wait: Micros) -> Result<News, StateError> {
+        self.pace(Urgency::Paced, 0).await;
+        let path = format!(
+            "/watch?prefix={prefix}&from={from}&waitMs={}",
+            wait.as_millis()
+        );
+        let answer = self
+            .watcher
+            .call(Method::Get, &path, None, wait + WATCH_MARGIN)
+            .await
+            .map_err(no_answer)?;
+        match sort_status(answer.0, answer.1)? {
+            (200, bytes) => parse(&bytes),
+            (410, _) => Err(StateError::TooOld),
+            (status, bytes) => Err(odd(status, &bytes)),
+        }
+    }
+
+    /// A new lease.
+    pub async fn grant(&self, ttl: Micros) -> Result<u64, StateError> {
+        self.pace(Urgency::Now, 0).await;
+        let body = serde_json::json!({ "ttlMs": ttl.as_millis() });
+        let (status, bytes) = self
+            .call(Method::Post, "/holds", Some(encode(&body)?))
+            .await?;
+        match status {
+            200 => Ok(parse::<Lease>(&bytes)?.id),
+            _ => Err(odd(status, &bytes)),
+        }
+    }
+
+    /// Renews a lease.
+    pub async fn extend(&self, lease: u64) -> Result<(), StateError> {
+        self.pace(Urgency::Now, 0).await;
+        let path = format!("/holds/{lease}/extend");
+        let (status, bytes) = self.call(Method::Post, &path, None).await?;
+        match status {
+            200 => Ok(()),
+            404 => Err(StateError::NoLease),
+            _ => Err(odd(status, &bytes)),
+        }
+    }
+
+    /// Ends a lease at once.
+    pub async fn revoke(&self, lease: u64) -> Result<(), StateError> {
+        self.pace(Urgency::Now, 0).await;
+        let path = format!("/holds/{lease}");
+        match self.call(Method::Delete, &path, None).await?.0 {
+            200..=299 | 404 => Ok(()),
+            status => Err(odd(status, &[])),
+        }
+    }
+}
+
+fn sort_status(status: u16, bytes: Vec<u8>) -> Result<(u16, Vec<u8>), StateError> {
+    match status {
+        429 | 503 => Err(StateError::Refused(format!("status {status}"))),
+        400 if String::from_utf8_lossy(&bytes).contains("no such lease") => {
+            Err(StateError::NoLease)
+        }
+        500..=599 => Err(StateError::Unknown(format!("status {status}"))),
+        _ => Ok((status, bytes)),
+    }
+}
+
+fn no_answer(e: HttpError) -> StateError {
+    match e {
+        HttpError::NotSent(e) => StateError::Refused(e),
+        HttpError::NoAnswer(e) => StateError::Unknown(e),
+    }
+}
+
+fn encode(value: &Value) -> Result<Vec<u8>, StateError> {
+    serde_json::to_vec(value).map_err(|e| StateError::Malformed(e.to_string()))
+}
+
+fn parse<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Result<T, StateError> {
+    serde_json::from_slice(bytes).map_err(|e| StateError::Malformed(e.to_string()))
+}
+
+fn odd(status: u16, bytes: &[u8]) -> StateError {
+    let text: String = String::from_utf8_lossy(bytes).chars().take(200).collect();
+    StateError::Malformed(format!("status {status} {text}"))
+}
--- /dev/null
+++ b/src/units.rs
@@ -0,0 +1,172 @@
+//! Time in whole microseconds and resource amounts in whole millionths.
+
+use std::fmt;
+use std::ops::{Add, AddAssign, Sub, SubAssign};
+use std::time::Duration;
+
+/// A span of time, or a point on the process's own steady clock, in microseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Hash)]
+pub struct Micros(pub u64);
+
+impl Micros {
+    /// No time at all.
+    pub const ZERO: Micros = Micros(0);
+
+    /// Whole milliseconds.
+    pub const fn millis(ms: u64) -> Micros {
+        Micros(ms * 1_000)
+    }
+
+    /// Whole seconds.
+    pub const fn secs(s: u64) -> Micros {
+        Micros(s * 1_000_000)
+    }
+
+    /// Decimal seconds as they stand in settings and messages; what is negative or not finite is zero.
+    pub fn from_secs_f64(s: f64) -> Micros {
+        Micros((s.max(0.0) * 1e6).round() as u64)
+    }
+
+    /// Decimal seconds.
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    /// Whole milliseconds, rounded down.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// `self` less `other`, and zero where that would be negative.
+    pub const fn since(self, other: Micros) -> Micros {
+        Micros(self.0.saturating_sub(other.0))
+    }
+
+    /// `self` times `num` over `den`.
+    pub const fn scaled(self, num: u64, den: u64) -> Micros {
+        Micros(self.0.saturating_mul(num) / den)
+    }
+}
+
+impl Add for Micros {
+    type Output = Micros;
+    fn add(self, other: Micros) -> Micros {
+        Micros(self.0.saturating_add(other.0))
+    }
+}
+
+impl From<Micros> for Duration {
+    fn from(t: Micros) -> Duration {
+        Duration::from_micros(t.0)
+    }
+}
+
+impl fmt::Display for Micros {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.3}s", self.as_secs_f64())
+    }
+}
+
+/// What a task takes of a machine, or what a machine has: each in millionths of its unit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Room {
+    /// Processors.
+    pub cores: i64,
+    /// Accelerators.
+    pub cards: i64,
+    /// Memory in GB.
+    pub ram: i64,
+}
+
+impl Room {
+    /// From the decimal numbers of the wire.
+    pub fn new(cores: f64, cards: f64, ram_gb: f64) -> Room {
+        let whole = |x: f64| (x * 1e6).round() as i64;
+        Room {
+            cores: whole(cores),
+            cards: whole(cards),
+            ram: whole(ram_gb),
+        }
+    }
+
+    /// Whether `need` fits into this room.
+    pub fn holds(&self, need: &Room) -> bool {
+        need.cores <= self.cores && need.cards <= self.cards && need.ram <= self.ram
+    }
+
+    /// How many tasks of `need` fit into this room.
+    pub fn count_of(&self, need: &Room) -> usize {
+        let times = |have: i64, need: i64| {
+            if need <= 0 {
+                usize::MAX
+            } else {
+                (have / need).max(0) as usize
+            }
+        };
+        times(self.cores, need.cores)
+            .min(times(self.cards, need.cards))
+            .min(times(self.ram, need.ram))
+    }
+
+    /// The same room `n` times.
+    pub fn times(&self, n: usize) -> Room {
+        let n = n as i64;
+        Room {
+            cores: self.cores.saturating_mul(n),
+            cards: self.cards.saturating_mul(n),
+            ram: self.ram.saturating_mul(n),
+        }
+    }
+}
+
+impl AddAssign for Room {
+    fn add_assign(&mut self, other: Room) {
+        self.cores = self.cores.saturating_add(other.cores);
+        self.cards = self.cards.saturating_add(other.cards);
+        self.ram = self.ram.saturating_add(other.ram);
+    }
+}
+
+impl SubAssign for Room {
+    fn sub_assign(&mut self, other: Room) {
+        self.cores = self.cores.saturating_sub(other.cores);
+        self.cards = self.cards.saturating_sub(other.cards);
+        self.ram = self.ram.saturating_sub(other.ram);
+    }
+}
+
+impl Add for Room {
+    type Output = Room;
+    fn add(mut self, other: Room) -> Room {
+        self += other;
+        self
+    }
+}
+
+impl Sub for Room {
+    type Output = Room;
+    fn sub(mut self, other: Room) -> Room {
+        self -= other;
+        self
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn decimal_amounts_add_up_exactly() {
+        // Ten tasks of 0.1 must fill exactly one core: floating sums would leave or lack a crumb.
+        let mut left = Room::new(1.0, 0.0, 0.0);
+        for _ in 0..10 {
+            assert!(left.holds(&Room::new(0.1, 0.0, 0.0)));
+            left -= Room::new(0.1, 0.0, 0.0);
+        }
+        assert_eq!(left, Room::default());
+        assert_eq!(
+            Room::new(16.0, 2.0, 128.0).count_of(&Room::new(5.0, 1.0, 38.0)),
+            2
+        );
+    }
+}
--- /dev/null
+++ b/src/workers.rs
@@ -0,0 +1,148 @@
+//! The face for workers: reports are answered by the leader, whichever controller they reach.
+
+use crate::controller::Node;
+use crate::http::{Call, Reply};
+use crate::leader::Leading;
+use crate::peer::{self, Request};
+use crate::scheduler::{Order, Report};
+use crate::units::Micros;
+use http_types::Method;
+use log::{debug, warn};
+use serde_json::json;
+use std::rc::Rc;
+
+/// How long the leader may take when asked directly, and through another controller.
+const FORWARD_WITHIN: Micros = Micros::millis(1_300);
+/// After a failure the direct way is not tried for so long.
+const AVOID_FOR: Micros = Micros::secs(3);
+
+/// What a worker is answered.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Answer {
+    /// The token.
+    pub token: u64,
+    /// The orders.
+    pub orders: Vec<Order>,
+}
+
+/// Answers a worker's request.
+pub async fn answer(node: &Rc<Node>, call: &Call) -> Reply {
+    if call.method != Method::Post {
+        return Reply::error(405, "wrong method");
+    }
+    let report: Report = match serde_json::from_slice(&call.body) {
+        Ok(report) => report,
+        Err(e) => {
+            warn!("event=odd_report error={:?}", e.to_string());
+            return Reply::error(400, "malformed report");
+        }
+    };
+    let seen = report.token;
+    match checkin(node, report).await {
+        // A worker drops a lower token but stays, while its lease runs out: it must be sent elsewhere.
+        Some(answer) if answer.token >= seen => Reply::json(
+            200,
+            &json!({"warrant": answer.token, "orders": answer.orders}),
+        ),
+        _ => Reply::error(503, "no leader within reach"),
+    }
+}
+
+async fn checkin(node: &Rc<Node>, report: Report) -> Option<Answer> {
+    if let Some(leading) = node.leading() {
+        return lead(node, &leading, &report).await;
+    }
+    let machine = report.machine.clone();
+    if let Some(answer) = forward(node, report, true).await {
+        return Some(answer);
+    }
+    // Nobody can be asked: the answer keeps the worker's tasks alive, and gives no orders.
+    let token = node.known().token;
+    node.note_heard(machine);
+    (token > 0).then_some(Answer {
+        token,
+        orders: Vec::new(),
+    })
+}
+
+/// The leader's own answer to a report.
+pub async fn lead(node: &Node, leading: &Leading, report: &Report) -> Option<Answer> {
+    if report.token > leading.token() {
+        node.learn_token(report.token);
+        return None;
+    }
+    let now = node.clock.now();
+    let heard = leading.scheduler.borrow_mut().on_report(report, now);
+    let unwritten = leading.scheduler.borrow().awaits_write(&report.machine);
+    if heard.fresh && (heard.changed || unwritten) {
+        // What the report brought is written, and what it made room for is placed, before the worker is answered.
+        leading.round_after_now().await;
+    }
+    let orders = if heard.fresh && leading.may_order(node.clock.now()) {
+        leading
+            .scheduler
+            .borrow_mut()
+            .orders_for(&report.machine, (report.session, report.seq))
+    } else {
+        Vec::new()
+    };
+    Some(Answer {
+        token: leading.token(),
+        orders,
+    })
+}
+
+/// Asks the leader on a worker's behalf: directly, and if that fails through another controller.
+async fn forward(node: &Rc<Node>, report: Report, relay: bool) -> Option<Answer> {
+    let leader = node.known().leader?;
+    let direct = node.peers.iter().find(|p| p.node == leader)?;
+    if !node.avoids(&leader) {
+        match ask(node, direct, report.clone(), false).await {
+            Some(answer) => return Some(answer),
+            None => node.avoid(&leader, node.clock.now() + AVOID_FOR),
+        }
+    }
+    if !relay {
+        return None;
+    }
+    for other in node.peers.iter().filter(|p| p.node != leader) {
+        if let Some(answer) = ask(node, other, report.clone(), true).await {
+            return Some(answer);
+        }
+    }
+    None
+}
+
+async fn ask(node: &Node, peer: &peer::Peer, report: Report, relay: bool) -> Option<Answer> {
+    let request = Request::Report { relay, report };
+    match peer.call(node.known(), request, FORWARD_WITHIN).await {
+        Ok(frame) => {
+            node.learn(&frame.known);
+            match frame.message {
+                peer::Reply::Answer { token, orders } => Some(Answer { token, orders }),
+                _ => None,
+            }
+        }
+        Err(e) => {
+            debug!(
+                "event=forward_failed peer={} error={:?}",
+                peer.node,
+                e.to_string()
+            );
+            None
+        }
+    }
+}
+
+/// Answers a report that another controller passed on.
+pub async fn passed_on(node: &Rc<Node>, report: Report, relay: bool) -> peer::Reply {
+    let answer = match node.leading() {
+        Some(leading) => lead(node, &leading, &report).await,
+        None if relay => forward(node, report, false).await,
+        None => None,
+    };
+    match answer {
+        Some(Answer { token, orders }) => peer::Reply::Answer { token, orders },
+        None => peer::Reply::NoLeader,
+    }
+}
