--- a/src/leader.rs
+++ b/src/leader.rs
@@ -179,9 +179,13 @@
                 return why;
             }
         }
-        for note in leading.scheduler.borrow_mut().take_notes() {
+        let (notes, details) = leading.scheduler.borrow_mut().take_notes();
+        for note in notes {
             info!("{note}");
         }
+        for detail in details {
+            debug!("{detail}");
+        }
         leading.ended.set(leading.begun.get());
         leading.round_ended.notify(usize::MAX);
     }
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -599,6 +599,6 @@
         next_try: Micros::ZERO,
         failed_on: BTreeSet::new(),
         failures: 0,
-        waiting_since: Micros::ZERO,
+        claims: Vec::new(),
     }
 }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -129,6 +129,7 @@
     gone_order: VecDeque<MachineId>,
     fleet: fleet::Fleet,
     notes: Vec<String>,
+    details: Vec<String>,
     /// Offers made in the last round, for bounding and for tests.
     pub offers_made: usize,
 }
@@ -159,6 +160,7 @@
             gone_order: VecDeque::new(),
             fleet: fleet::Fleet::default(),
             notes: Vec::new(),
+            details: Vec::new(),
             offers_made: 0,
         }
     }
@@ -168,9 +170,12 @@
         self.token
     }
 
-    /// What happened since the last call, in words for the log.
-    pub fn take_notes(&mut self) -> Vec<String> {
-        std::mem::take(&mut self.notes)
+    /// What happened since the last call, in words for the log: for the people on call, and in detail.
+    pub fn take_notes(&mut self) -> (Vec<String>, Vec<String>) {
+        (
+            std::mem::take(&mut self.notes),
+            std::mem::take(&mut self.details),
+        )
     }
 
     /// The machine types as the cloud tells them now.
@@ -210,7 +215,7 @@
             next_try: now,
             failed_on: BTreeSet::new(),
             failures: 0,
-            waiting_since: now,
+            claims: Vec::new(),
         };
         let mut placed = Vec::new();
         for (number, record, version) in chunks {
@@ -292,10 +297,16 @@
     }
 
     /// Takes a placement out, because its task is proven to be off its machine or was never sent there.
-    fn release(&mut self, id: &JobId, index: u32) -> Option<Placement> {
-        let job = self.jobs.get_mut(id)?;
-        let chunk = job.chunks.get_mut(&(index / CHUNK))?;
-        let placement = chunk.live.remove(&((index % CHUNK) as u8))?;
+    fn release(&mut self, id: &JobId, index: u32) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(chunk) = job.chunks.get_mut(&(index / CHUNK)) else {
+            return;
+        };
+        let Some(placement) = chunk.live.remove(&((index % CHUNK) as u8)) else {
+            return;
+        };
         chunk.dirty = true;
         self.dirty.insert((id.clone(), index / CHUNK));
         let need = job.spec.need();
@@ -313,8 +324,19 @@
                 index,
             });
         }
+        if placement.stopping == Some(StopReason::Preempted) {
+            self.wake_claimants(&placement.machine);
+        }
         self.check_over(id);
-        Some(placement)
+    }
+
+    /// Makes the jobs due for which room was made on a machine, so that no other takes it first.
+    fn wake_claimants(&mut self, machine: &MachineId) {
+        for job in self.jobs.values_mut() {
+            if job.claims.iter().any(|(m, _)| m == machine) {
+                job.next_try = Micros::ZERO;
+            }
+        }
     }
 
     /// Notes a task's completion.
--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -575,8 +575,8 @@
     pub failed_on: BTreeSet<MachineId>,
     /// Failures in a row, for backing off.
     pub failures: u32,
-    /// When this leader first saw it wait.
-    pub waiting_since: Micros,
+    /// Machines where tasks are being stopped for waiting ones of this job, and until when that is believed.
+    pub claims: Vec<(MachineId, Micros)>,
 }
 
 impl Job {
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -21,15 +21,23 @@
             return;
         }
         let mut machines = self.candidates();
+        let mut coming = self.coming_room(now);
         let sample = self.sample_size(due.len(), machines.len());
         for id in &due {
-            if sample < machines.len() {
-                let picked = self.sample(&machines, sample);
-                self.offer(id, &mut machines, &picked, now);
+            let order = if sample < machines.len() {
+                self.sample(&machines, sample)
             } else {
-                let all: Vec<usize> = (0..machines.len()).collect();
-                self.offer(id, &mut machines, &all, now);
+                (0..machines.len()).collect()
+            };
+            let entitled = self.knobs.guarantee_within.is_some() && guaranteed.contains(id);
+            self.offer(id, &mut machines, &order, true, now);
+            // A task that would wait too long for its image on a free machine rather takes the place of another on
+            // a machine that has it.
+            if self.fetch_is_too_slow(id) {
+                self.preempt_for(id, entitled, true, &mut coming, now);
             }
+            self.offer(id, &mut machines, &order, false, now);
+            self.preempt_for(id, entitled, false, &mut coming, now);
             let jitter = self.rng.u64(0..=self.knobs.jitter.0);
             if let Some(job) = self.jobs.get_mut(id)
                 && job.waiting() > 0
@@ -37,7 +45,19 @@
                 job.next_try = now + self.knobs.retry + Micros(jitter);
             }
         }
-        self.preempt_for(&due, &guaranteed, now);
+    }
+
+    /// Whether a task of the job could not start within its class's time where its image must be fetched first.
+    fn fetch_is_too_slow(&self, id: &JobId) -> bool {
+        let Some(spec) = spec_of(&self.jobs, id) else {
+            return false;
+        };
+        let Some(within) = self.knobs.wait_within.get(&spec.class) else {
+            return false;
+        };
+        let rates = self.flavors.values().map(|f| f.fetch_gb_per_s);
+        let rate = rates.fold(0.001, f64::max);
+        Micros::from_secs_f64(spec.image_gb / rate) + self.knobs.report > *within
     }
 
     /// Jobs to offer now: by priority, guarantees before borrowing, then age.
@@ -95,38 +115,53 @@
         all
     }
 
-    /// Offers a job's waiting tasks; machines that have its image, or are fetching it, are asked first.
-    fn offer(&mut self, id: &JobId, machines: &mut [Candidate], order: &[usize], now: Micros) {
-        let Some(spec) = spec_of(&self.jobs, id) else {
+    /// Offers a job's waiting tasks to the machines that have its image, are fetching it or were cleared for it, or to
+    /// all of them; tasks that wait for a place being cleared are left out of the latter.
+    fn offer(
+        &mut self,
+        id: &JobId,
+        machines: &mut [Candidate],
+        order: &[usize],
+        with_image: bool,
+        now: Micros,
+    ) {
+        let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
+        job.claims.retain(|(_, until)| *until > now);
+        let spec = job.spec.clone();
         let need = spec.need();
+        let mut budget = TASKS_PER_JOB.min(job.waiting() as usize);
+        if !with_image {
+            budget = budget.saturating_sub(job.claims.len());
+        }
+        let cleared: Vec<MachineId> = job.claims.iter().map(|(m, _)| m.clone()).collect();
         let mut next = 0;
-        let mut budget = TASKS_PER_JOB;
-        for with_image in [true, false] {
-            for &i in order {
-                self.offers_made += 1;
-                let candidate = &mut machines[i];
-                if !candidate.free.holds(&need)
-                    || (with_image && !self.machines[&candidate.id].has_image(&spec.image))
-                {
-                    continue;
-                }
-                while budget > 0
-                    && candidate.free.holds(&need)
-                    && self.accepts(id, &spec, &candidate.id)
-                {
-                    let Some(index) = self.jobs.get(id).and_then(|j| j.next_waiting(next)) else {
-                        return;
-                    };
-                    if !self.within_limit(&spec.team, &need) {
-                        return;
-                    }
-                    self.place(id, index, &candidate.id, now);
-                    candidate.free -= need;
-                    next = index + 1;
-                    budget -= 1;
+        for &i in order {
+            self.offers_made += 1;
+            let candidate = &mut machines[i];
+            if !candidate.free.holds(&need) {
+                continue;
+            }
+            let ready = self.machines[&candidate.id].has_image(&spec.image)
+                || cleared.contains(&candidate.id);
+            if with_image && !ready {
+                continue;
+            }
+            while budget > 0
+                && candidate.free.holds(&need)
+                && self.accepts(id, &spec, &candidate.id)
+            {
+                let Some(index) = self.jobs.get(id).and_then(|j| j.next_waiting(next)) else {
+                    return;
+                };
+                if !self.within_limit(&spec.team, &need) {
+                    return;
                 }
+                self.place(id, index, &candidate.id, now);
+                candidate.free -= need;
+                next = index + 1;
+                budget -= 1;
             }
         }
     }
@@ -149,6 +184,10 @@
         let chunk = job.chunks.entry(index / CHUNK).or_default();
         chunk.last_attempt += 1;
         chunk.dirty = true;
+        let claim = job.claims.iter().position(|(m, _)| m == machine);
+        if let Some(i) = claim.or(job.claims.len().checked_sub(1)) {
+            job.claims.swap_remove(i);
+        }
         chunk.live.insert(
             (index % CHUNK) as u8,
             Placement {
@@ -162,6 +201,10 @@
                 stopping: None,
             },
         );
+        self.details.push(format!(
+            "event=placed task={id}/{index} machine={machine} attempt={}",
+            chunk.last_attempt
+        ));
         self.dirty.insert((id.clone(), index / CHUNK));
         self.hold(id, index, machine, now);
         self.note_image(machine, &spec);
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -1,53 +1,74 @@
 //! Making room for what must not wait, by the protocol's rules only and at the least loss of work.
 
-use super::offers::zone_takes;
 use super::*;
 
 /// Stops ordered in one round.
 const STOPS_PER_ROUND: usize = 16;
 
 impl Scheduler {
-    /// Stops tasks where that really makes room for due jobs that must not wait.
-    pub(super) fn preempt_for(&mut self, due: &[JobId], guaranteed: &HashSet<JobId>, now: Micros) {
-        // Room that stops under way will free, by machine; higher jobs count on it first.
+    /// Room that will be free by machine: what is being stopped there, less what was promised of it.
+    pub(super) fn coming_room(&mut self, now: Micros) -> BTreeMap<MachineId, Room> {
         let mut coming: BTreeMap<MachineId, Room> = BTreeMap::new();
-        for job in self.jobs.values() {
+        for job in self.jobs.values_mut() {
             for (_, p) in live_tasks(job).filter(|(_, p)| p.stopping.is_some()) {
                 *coming.entry(p.machine.clone()).or_default() += job.spec.need();
             }
+            job.claims.retain(|(_, until)| *until > now);
+            for (machine, _) in &job.claims {
+                *coming.entry(machine.clone()).or_default() -= job.spec.need();
+            }
         }
-        let mut stops = 0;
-        for id in due {
-            let Some(job) = self.jobs.get(id) else {
-                continue;
-            };
-            let spec = job.spec.clone();
-            let entitled = guaranteed.contains(id) && self.knobs.guarantee_within.is_some();
-            if !self.knobs.wait_within.contains_key(&spec.class) && !entitled {
-                continue;
+        coming
+    }
+
+    /// Stops tasks where that really makes room for a job that must not wait; with `with_image` only on machines
+    /// that have its image.
+    pub(super) fn preempt_for(
+        &mut self,
+        id: &JobId,
+        entitled: bool,
+        with_image: bool,
+        coming: &mut BTreeMap<MachineId, Room>,
+        now: Micros,
+    ) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let spec = job.spec.clone();
+        let open = (job.waiting() as usize).saturating_sub(job.claims.len());
+        if !self.knobs.wait_within.contains_key(&spec.class) && !entitled {
+            return;
+        }
+        let mut planned = spec.need().times(job.claims.len());
+        for _ in 0..open.min(STOPS_PER_ROUND) {
+            planned += spec.need();
+            if !self.within_limit(&spec.team, &planned) {
+                return;
             }
-            let mut planned = Room::default();
-            for _ in 0..job.waiting() {
-                planned += spec.need();
-                if stops >= STOPS_PER_ROUND || !self.within_limit(&spec.team, &planned) {
-                    break;
-                }
-                let Some((machine, victims)) = self.room_for(id, &spec, entitled, &coming, now)
-                else {
-                    break;
-                };
-                let room = coming.entry(machine).or_default();
-                for task in &victims {
-                    if let Some(v) = self.jobs.get(&task.job) {
-                        *room += v.spec.need();
-                    }
-                }
-                *room -= spec.need();
-                stops += victims.len();
-                for task in victims {
-                    self.stop_for(&task, id);
+            let Some((machine, victims)) =
+                self.room_for(id, &spec, entitled, with_image, coming, now)
+            else {
+                return;
+            };
+            let room = coming.entry(machine.clone()).or_default();
+            for task in &victims {
+                if let Some(v) = self.jobs.get(&task.job) {
+                    *room += v.spec.need();
                 }
             }
+            *room -= spec.need();
+            let save = victims
+                .iter()
+                .filter_map(|t| spec_of(&self.jobs, &t.job))
+                .map(|s| Micros::from_secs_f64(s.save_slack()))
+                .max()
+                .unwrap_or_default();
+            // The stop waits for a report, the exit is told within a second, and then the claim is used.
+            let until = now + self.knobs.report.scaled(5, 4) + save + Micros::secs(2);
+            for task in victims {
+                self.stop_for(&task, id);
+            }
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.claims.push((machine, until));
+            }
         }
     }
 
@@ -72,10 +93,10 @@
         id: &JobId,
         spec: &JobSpec,
         entitled: bool,
+        with_image: bool,
         coming: &BTreeMap<MachineId, Room>,
         now: Micros,
     ) -> Option<(MachineId, Vec<TaskId>)> {
-        let job = self.jobs.get(id)?;
         let need = spec.need();
         let mut best: Option<(Micros, MachineId, Vec<TaskId>)> = None;
         for (machine, m) in &self.machines {
@@ -84,7 +105,7 @@
                 || m.lost
                 || !m.total.holds(&need)
                 || !self.accepts(id, spec, machine)
-                || !zone_takes(job, &m.zone, 0)
+                || (with_image && !m.has_image(&spec.image))
             {
                 continue;
             }
@@ -130,7 +151,7 @@
         let lower = job.spec.priority < by.priority;
         let lent = entitled && job.spec.team != by.team && self.borrows(&job.spec.team);
         // Services of the highest priority are spared even where the rules allow to stop them.
-        if !lower && !(lent && job.spec.priority < Priority::Critical) {
+        if !(lower || lent && job.spec.priority < Priority::Critical) {
             return None;
         }
         let ran = p.running_since.map_or(Micros::ZERO, |t| now.since(t));
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -111,6 +111,8 @@
                     }
                     TaskState::Running if p.running_since.is_none() => {
                         p.running_since = Some(now);
+                        self.details
+                            .push(format!("event=running task={task} machine={}", r.machine));
                         self.note_image(&r.machine, &spec);
                     }
                     _ => {}
@@ -150,15 +152,14 @@
     ) {
         if cause == Some(ExitCause::Done) {
             self.finish(&task.job, task.index);
+            self.details
+                .push(format!("event=finished task={task} machine={machine}"));
             if let Some(m) = self.machines.get_mut(machine) {
                 m.failed_jobs.clear();
             }
             return;
         }
-        let placement = self.release(&task.job, task.index);
-        if placement.is_some_and(|p| p.stopping == Some(StopReason::Preempted)) {
-            self.wake_all(now);
-        }
+        self.release(&task.job, task.index);
         self.requeue(&task.job, now);
         match cause {
             Some(ExitCause::Error) => self.task_failed(task, machine, now),
@@ -296,16 +297,6 @@
     pub(super) fn requeue(&mut self, id: &JobId, now: Micros) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.next_try = job.next_try.min(now);
-            job.waiting_since = now;
-        }
-    }
-
-    /// Makes all waiting jobs due, as room was made for one of them.
-    fn wake_all(&mut self, now: Micros) {
-        for job in self.jobs.values_mut() {
-            if job.failures == 0 {
-                job.next_try = job.next_try.min(now);
-            }
         }
     }
 
