--- a/src/controller.rs
+++ b/src/controller.rs
@@ -14,6 +14,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
+use event_listener::Event;
 use log::{debug, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -28,6 +29,9 @@
 /// How long what another controller said of the state service counts.
 const WORD_LASTS: Micros = Micros::secs(4);
 
+/// A controller that did not answer for so long may be down.
+const LATELY: Micros = Micros::millis(2_200);
+
 /// What another controller said last.
 #[derive(Debug, Clone, Default)]
 struct Word {
@@ -62,6 +66,7 @@
     token_seen: Cell<u64>,
     avoided: RefCell<BTreeMap<String, Micros>>,
     heard: RefCell<BTreeMap<MachineId, Micros>>,
+    heard_new: Event,
     connections: Cell<usize>,
 }
 
@@ -96,6 +101,7 @@
             token_seen: Cell::new(0),
             avoided: RefCell::default(),
             heard: RefCell::default(),
+            heard_new: Event::new(),
             connections: Cell::new(0),
             platform,
             settings,
@@ -166,6 +172,19 @@
     /// A machine reported here, and its report can't be passed on.
     pub fn note_heard(&self, machine: MachineId) {
         self.heard.borrow_mut().insert(machine, self.clock.now());
+        self.heard_new.notify(usize::MAX);
+    }
+
+    /// Whether every other controller answered lately and reaches the state service, as this one does.
+    pub fn all_well(&self) -> bool {
+        let now = self.clock.now();
+        let words = self.words.borrow();
+        self.store.reachable()
+            && self.peers.iter().all(|p| {
+                words
+                    .get(&p.node)
+                    .is_some_and(|w| w.known.state_reachable && now.since(w.at) < LATELY)
+            })
     }
 
     /// Whether this controller can take requests.
@@ -334,7 +353,9 @@
 async fn tell_heard(node: &Node) {
     let every = node.platform.report();
     loop {
-        Timer::after(every.into()).await;
+        node.heard_new.listen().await;
+        // The first report that can't be passed on is told at once, with those that come in the next moment.
+        Timer::after(Micros::millis(200).into()).await;
         let now = node.clock.now();
         let machines: Vec<MachineId> = {
             let mut heard = node.heard.borrow_mut();
@@ -353,5 +374,6 @@
         if let Err(e) = node.state.txn(Urgency::Paced, &[], &[put]).await {
             debug!("event=heard_not_told error={:?}", e.to_string());
         }
+        Timer::after(every.scaled(1, 3).into()).await;
     }
 }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -450,10 +450,11 @@
         if !leading.may_order(now) {
             continue;
         }
-        let plan = leading
-            .scheduler
-            .borrow_mut()
-            .plan_fleet(now, node.clock.wall());
+        let plan = {
+            let mut scheduler = leading.scheduler.borrow_mut();
+            scheduler.set_steady(node.all_well(), now);
+            scheduler.plan_fleet(now, node.clock.wall())
+        };
         let give_back = give_back(node, leading, &plan.give_back);
         let rent = async {
             for want in &plan.rent {
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -237,10 +237,12 @@
     /// together, it is given up only once the workers' leases are over; a wave of taken spot machines excepted.
     fn silent(&self, now: Micros) -> Vec<MachineId> {
         let step = self.knobs.report.scaled(5, 4) + Micros::secs(1);
-        let one_move = step + WORKER_MOVES_ON;
-        let two_moves = one_move + WORKER_MOVES_ON;
-        let young = now.since(self.began) < Micros::secs(30);
-        let patience = if young { two_moves } else { one_move };
+        let two_moves = step + WORKER_MOVES_ON.scaled(2, 1);
+        // A worker whose controller is out of reach needs a while to find another one.
+        let patience = match self.steady_since {
+            Some(since) if now.since(since) > two_moves => step + Micros::secs(1),
+            _ => step + WORKER_MOVES_ON,
+        };
         let lease = self.knobs.lease + step;
         let mut zones: BTreeMap<&str, (usize, usize, usize)> = BTreeMap::new();
         let counted = |m: &Machine| m.life == Life::Up || !m.held.is_empty();
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -128,6 +128,7 @@
     gone: HashSet<MachineId>,
     gone_order: VecDeque<MachineId>,
     fleet: fleet::Fleet,
+    steady_since: Option<Micros>,
     notes: Vec<String>,
     details: Vec<String>,
     /// Offers made in the last round, for bounding and for tests.
@@ -159,6 +160,7 @@
             gone: HashSet::new(),
             gone_order: VecDeque::new(),
             fleet: fleet::Fleet::default(),
+            steady_since: None,
             notes: Vec::new(),
             details: Vec::new(),
             offers_made: 0,
@@ -170,6 +172,11 @@
         self.token
     }
 
+    /// Whether all controllers are up and within reach of this one, so that workers have no reason to look for another.
+    pub fn set_steady(&mut self, steady: bool, now: Micros) {
+        self.steady_since = steady.then(|| self.steady_since.unwrap_or(now));
+    }
+
     /// What happened since the last call, in words for the log: for the people on call, and in detail.
     pub fn take_notes(&mut self) -> (Vec<String>, Vec<String>) {
         (
