Skip closed ways between controllers when passing on reports

Cause: in a cut a follower spent up to 2.6 s on tries that could not succeed before it answered a worker and told the leader of it. Pings already know.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -32,6 +32,9 @@
 /// A controller that did not answer for so long may be down.
 const LATELY: Micros = Micros::millis(2_200);
 
+/// After a failed ping reports are not passed on to a controller for so long.
+const AVOID_FOR: Micros = Micros::secs(2);
+
 /// What another controller said last.
 #[derive(Debug, Clone, Default)]
 struct Word {
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -12,6 +12,8 @@
 const LEAST_CHARGE: Micros = Micros::secs(60);
 /// How long a worker waits for an answer, and then before it tries the next controller.
 const WORKER_MOVES_ON: Micros = Micros::secs(5);
+/// How long another controller may need to tell that it hears a machine.
+const TOLD_WITHIN: Micros = Micros::secs(2);
 /// How far back arrivals are counted to size the reserve.
 const ARRIVALS_OVER: Micros = Micros::secs(120);
 
@@ -241,7 +243,7 @@
         // A worker whose controller is out of reach needs a while to find another one.
         let patience = match self.steady_since {
             Some(since) if now.since(since) > two_moves => step + Micros::secs(1),
-            _ => step + WORKER_MOVES_ON,
+            _ => step + WORKER_MOVES_ON + TOLD_WITHIN,
         };
         let lease = self.knobs.lease + step;
         let mut zones: BTreeMap<&str, (usize, usize, usize)> = BTreeMap::new();
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 
 /// How long the leader may take when asked directly, and through another controller.
-const FORWARD_WITHIN: Micros = Micros::millis(1_300);
+const FORWARD_WITHIN: Micros = Micros::millis(1_000);
 /// After a failure the direct way is not tried for so long.
 const AVOID_FOR: Micros = Micros::secs(3);
 
@@ -105,7 +105,10 @@
     if !relay {
         return None;
     }
-    for other in node.peers.iter().filter(|p| p.node != leader) {
+    for other in node.peers.iter() {
+        if other.node == leader || node.avoids(&other.node) {
+            continue;
+        }
         if let Some(answer) = ask(node, other, report.clone(), true).await {
             return Some(answer);
         }
