--- a/src/controller.rs
+++ b/src/controller.rs
@@ -178,16 +178,24 @@
         self.heard_new.notify(usize::MAX);
     }
 
-    /// Whether every other controller answered lately and reaches the state service, as this one does.
-    pub fn all_well(&self) -> bool {
+    /// Whether another controller answered lately and reaches the state service.
+    fn is_well(&self, node: &str) -> bool {
         let now = self.clock.now();
         let words = self.words.borrow();
-        self.store.reachable()
-            && self.peers.iter().all(|p| {
-                words
-                    .get(&p.node)
-                    .is_some_and(|w| w.known.state_reachable && now.since(w.at) < LATELY)
-            })
+        let word = words.get(node);
+        word.is_some_and(|w| w.known.state_reachable && now.since(w.at) < LATELY)
+    }
+
+    /// Whether all controllers are well, this one included.
+    pub fn all_well(&self) -> bool {
+        self.store.reachable() && self.peers.iter().all(|p| self.is_well(&p.node))
+    }
+
+    /// The zones of controllers that are not well.
+    pub fn doubtful_zones(&self) -> Vec<String> {
+        let members = self.platform.members.iter();
+        let unwell = members.filter(|m| !self.is_well(&m.node));
+        unwell.map(|m| m.zone.clone()).collect()
     }
 
     /// Whether this controller can take requests.
@@ -340,11 +348,15 @@
                 node.learn(&frame.known);
                 node.note_word(&peer.node, frame.known);
             }
-            Err(e) => debug!(
-                "event=ping_failed peer={} error={:?}",
-                peer.node,
-                e.to_string()
-            ),
+            Err(e) => {
+                debug!(
+                    "event=ping_failed peer={} error={:?}",
+                    peer.node,
+                    e.to_string()
+                );
+                // Reports need not find out anew that this way is closed.
+                node.avoid(&peer.node, node.clock.now() + AVOID_FOR);
+            }
         }
         Timer::after(PING_EVERY.into()).await;
     }
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -240,10 +240,17 @@
     fn silent(&self, now: Micros) -> Vec<MachineId> {
         let step = self.knobs.report.scaled(5, 4) + Micros::secs(1);
         let two_moves = step + WORKER_MOVES_ON.scaled(2, 1);
-        // A worker whose controller is out of reach needs a while to find another one.
-        let patience = match self.steady_since {
-            Some(since) if now.since(since) > two_moves => step + Micros::secs(1),
-            _ => step + WORKER_MOVES_ON + TOLD_WITHIN,
+        let steady = self.steady_since.is_some_and(|t| now.since(t) > two_moves);
+        // A worker whose controller is out of reach needs a while to find another one; in a zone with which the way
+        // is broken it may have to try two in vain.
+        let patience = |m: &Machine| {
+            if steady {
+                step + Micros::secs(1)
+            } else if self.doubtful_zones.contains_key(&m.zone) {
+                two_moves + TOLD_WITHIN
+            } else {
+                step + WORKER_MOVES_ON + TOLD_WITHIN
+            }
         };
         let lease = self.knobs.lease + step;
         let mut zones: BTreeMap<&str, (usize, usize, usize)> = BTreeMap::new();
@@ -251,7 +258,7 @@
         for m in self.machines.values().filter(|m| counted(m)) {
             let (all, quiet, quiet_spot) = zones.entry(&m.zone).or_default();
             *all += 1;
-            if now.since(m.heard_at) > patience {
+            if now.since(m.heard_at) > patience(m) {
                 *quiet += 1;
                 *quiet_spot += usize::from(m.spot);
             }
@@ -259,7 +266,7 @@
         let mut silent = Vec::new();
         for (id, m) in &self.machines {
             let quiet_for = now.since(m.heard_at);
-            if m.life == Life::Returning || !counted(m) || quiet_for <= patience {
+            if m.life == Life::Returning || !counted(m) || quiet_for <= patience(m) {
                 continue;
             }
             let (all, quiet, quiet_spot) = zones[m.zone.as_str()];
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -129,6 +129,7 @@
     gone_order: VecDeque<MachineId>,
     fleet: fleet::Fleet,
     steady_since: Option<Micros>,
+    doubtful_zones: BTreeMap<String, Micros>,
     notes: Vec<String>,
     details: Vec<String>,
     /// Offers made in the last round, for bounding and for tests.
@@ -161,6 +162,7 @@
             gone_order: VecDeque::new(),
             fleet: fleet::Fleet::default(),
             steady_since: None,
+            doubtful_zones: BTreeMap::new(),
             notes: Vec::new(),
             details: Vec::new(),
             offers_made: 0,
@@ -172,9 +174,16 @@
         self.token
     }
 
-    /// Whether all controllers are up and within reach of this one, so that workers have no reason to look for another.
-    pub fn set_steady(&mut self, steady: bool, now: Micros) {
+    /// Whether all controllers are up and within reach of this one, so that workers have no reason to look for another;
+    /// and the zones of those that are not.
+    pub fn set_steady(&mut self, steady: bool, doubtful: &[String], now: Micros) {
         self.steady_since = steady.then(|| self.steady_since.unwrap_or(now));
+        for zone in doubtful {
+            self.doubtful_zones.insert(zone.clone(), now);
+        }
+        // After a cut its workers still need a while to come back.
+        self.doubtful_zones
+            .retain(|_, at| now.since(*at) < Micros::secs(10));
     }
 
     /// What happened since the last call, in words for the log: for the people on call, and in detail.
