--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -210,8 +210,8 @@
                 give_up.push((id.clone(), "lost"));
             } else if m.life == Life::Booting
                 && m.held.is_empty()
-                && now.since(m.since) > boot.scaled(5, 2) + Micros::secs(5)
-                && now.since(m.heard_at) > boot
+                && now.since(m.since) > boot.scaled(17, 10) + Micros::secs(3)
+                && now.since(m.heard_at) > boot.scaled(1, 2)
             {
                 give_up.push((id.clone(), "stuck"));
             }
@@ -460,7 +460,7 @@
             let on_its_way = m.life == Life::Booting
                 && m.total != Room::default()
                 && !m.lost
-                && now.since(m.since) < boot.scaled(2, 1);
+                && now.since(m.since) < boot.scaled(16, 10);
             let mut free = m.free();
             let mut stops = false;
             if m.life == Life::Up && m.notice.is_none() {
