Count places that lower work would vacate towards the reserve

Cause: batch work took the reserve, which then rented ordinary machines again and again at three times the spot price (quito steady, 320-380 s).

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -323,7 +323,7 @@
             if drained {
                 idle.push(id.clone());
             } else if stale {
-                let places = reserve.as_ref().map_or(0, |(spec, _)| places_on(m, spec));
+                let places = reserve.as_ref().map_or(0, |(s, _)| self.places_on(m, s));
                 if places <= spare {
                     spare -= places;
                     idle.push(id.clone());
@@ -370,15 +370,30 @@
         Some((spec, in_a_boot.clamp(1, most) as usize))
     }
 
-    /// Places for such tasks on machines that are up.
+    /// Places for such tasks on machines that are up, those included that tasks of lower priority would make way for.
     fn free_places(&self, spec: &JobSpec) -> usize {
         self.machines
             .values()
             .filter(|m| m.life == Life::Up && m.notice.is_none())
-            .map(|m| places_on(m, spec))
+            .map(|m| self.places_on(m, spec))
             .sum()
     }
 
+    /// How many such tasks a machine could take.
+    fn places_on(&self, m: &Machine, spec: &JobSpec) -> usize {
+        if !spec.allows(&m.rig, &m.zone, m.spot) {
+            return 0;
+        }
+        let mut room = m.free();
+        for (task, need) in &m.held {
+            let job = self.jobs.get(&task.job);
+            if job.is_some_and(|j| j.spec.priority < spec.priority) {
+                room += *need;
+            }
+        }
+        room.count_of(&spec.need()).min(1_000)
+    }
+
     /// What to rent for waiting tasks that neither free nor coming room will hold, and for the reserve.
     fn plan_rentals(&mut self, now: Micros, wall: u64) -> Vec<Want> {
         // A new leader first hears what there is.
@@ -587,15 +602,6 @@
     }
 }
 
-/// How many such tasks a machine could take beside what it holds.
-fn places_on(m: &Machine, spec: &JobSpec) -> usize {
-    if spec.allows(&m.rig, &m.zone, m.spot) {
-        m.free().count_of(&spec.need()).min(1_000)
-    } else {
-        0
-    }
-}
-
 /// A job without tasks of its own that stands for the reserve.
 fn reserve_job(spec: Rc<JobSpec>) -> Job {
     Job {
