--- a/src/config.rs
+++ b/src/config.rs
@@ -362,7 +362,7 @@
         Knobs {
             retry: Micros::millis(self.retry_ms.unwrap_or(400)),
             jitter: Micros::millis(self.jitter_ms.unwrap_or(100)),
-            idle: Micros::secs(self.idle_s.unwrap_or(20)),
+            idle: self.idle_s.map(Micros::secs),
             reserve: self.reserve,
             offers_per_round: self.offers_per_round.unwrap_or(offers.max(1_000)),
             rent_per_round: self.rent_per_round.unwrap_or(24),
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -318,7 +318,7 @@
             }
             let drained = m.life == Life::Draining;
             let stale = m.life == Life::Up
-                && now.since(since) >= self.knobs.idle
+                && now.since(since) >= self.idle_limit(m)
                 && now.since(m.since) >= LEAST_CHARGE;
             if drained {
                 idle.push(id.clone());
@@ -339,6 +339,12 @@
         }
     }
 
+    /// How long an empty machine is kept: a while that is short against booting another.
+    fn idle_limit(&self, m: &Machine) -> Micros {
+        let boot = self.flavors.get(&m.rig).map_or(Micros::ZERO, Flavor::boot);
+        self.knobs.idle.unwrap_or(boot.scaled(1, 8))
+    }
+
     /// The places to keep for tasks that can't wait for a boot, with a job that stands for them.
     fn reserve(&self, wall: u64) -> Option<(Rc<JobSpec>, usize)> {
         let mut newest: Option<&Job> = None;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -26,8 +26,8 @@
     pub retry: Micros,
     /// Most that is added to it at random.
     pub jitter: Micros,
-    /// How long an empty machine is kept.
-    pub idle: Micros,
+    /// How long an empty machine is kept; none: an eighth of the time another would take to boot.
+    pub idle: Option<Micros>,
     /// Free places kept for classes that can't wait for a boot; none: derived from their arrivals.
     pub reserve: Option<u32>,
     /// Most offers in one round; beyond, samples of machines are asked.
