Fold half-empty machines by moving services one at a time

Ruled out: idle time, boots. Exception to the ordinary path, only for services with room to spare for 30 s and only when a machine with the image reports just then.

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -67,9 +67,11 @@
     pub fn plan_fleet(&mut self, now: Micros, wall: u64) -> FleetPlan {
         self.give_up_lost(now);
         self.give_up_for_cancels(wall);
-        self.give_up_idle(now, wall);
+        let reserve = self.reserve(wall);
+        self.plan_fold(reserve.as_ref(), now);
+        self.give_up_idle(reserve.as_ref(), now);
         FleetPlan {
-            rent: self.plan_rentals(now, wall),
+            rent: self.plan_rentals(reserve, now),
             give_back: self
                 .machines
                 .iter()
@@ -304,9 +306,8 @@
     }
 
     /// Gives back machines that stood empty long enough, the highest ids first, down to the reserve.
-    fn give_up_idle(&mut self, now: Micros, wall: u64) {
-        let reserve = self.reserve(wall);
-        let mut spare = match &reserve {
+    fn give_up_idle(&mut self, reserve: Option<&(Rc<JobSpec>, usize)>, now: Micros) {
+        let mut spare = match reserve {
             Some((spec, places)) => self.free_places(spec).saturating_sub(*places),
             None => usize::MAX,
         };
@@ -323,7 +324,7 @@
             if drained {
                 idle.push(id.clone());
             } else if stale {
-                let places = reserve.as_ref().map_or(0, |(s, _)| self.places_on(m, s));
+                let places = reserve.map_or(0, |(s, _)| self.places_on(m, s));
                 if places <= spare {
                     spare -= places;
                     idle.push(id.clone());
@@ -401,7 +402,7 @@
     }
 
     /// What to rent for waiting tasks that neither free nor coming room will hold, and for the reserve.
-    fn plan_rentals(&mut self, now: Micros, wall: u64) -> Vec<Want> {
+    fn plan_rentals(&mut self, reserve: Option<(Rc<JobSpec>, usize)>, now: Micros) -> Vec<Want> {
         // A new leader first hears what there is.
         if now.since(self.began) < self.knobs.report.scaled(5, 4) + Micros::secs(1)
             && !self.machines.is_empty()
@@ -431,7 +432,7 @@
                 left -= 1;
             }
         }
-        if let Some((spec, places)) = self.reserve(wall) {
+        if let Some((spec, places)) = reserve {
             let job = reserve_job(spec.clone());
             let have = self.free_places(&spec);
             for _ in have..places {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 //! controller reports as written: a start is given out only after its placement was, a `clear` only after the finish.
 
 mod fleet;
+mod fold;
 mod model;
 mod offers;
 mod preempt;
@@ -128,6 +129,7 @@
     gone: HashSet<MachineId>,
     gone_order: VecDeque<MachineId>,
     fleet: fleet::Fleet,
+    fold: fold::Fold,
     steady_since: Option<Micros>,
     doubtful_zones: BTreeMap<String, Micros>,
     notes: Vec<String>,
@@ -161,6 +163,7 @@
             gone: HashSet::new(),
             gone_order: VecDeque::new(),
             fleet: fleet::Fleet::default(),
+            fold: fold::Fold::default(),
             steady_since: None,
             doubtful_zones: BTreeMap::new(),
             notes: Vec::new(),
@@ -589,6 +592,7 @@
         images: Vec::new(),
         failed_jobs: BTreeSet::new(),
         idle_since: None,
+        folding: false,
     }
 }
 
--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -688,6 +688,8 @@
     pub failed_jobs: BTreeSet<JobId>,
     /// Since when nothing is on it.
     pub idle_since: Option<Micros>,
+    /// Whether its services are being moved to machines that have room, so that it can go back.
+    pub folding: bool,
 }
 
 impl Machine {
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -330,7 +330,16 @@
     }
 
     /// The orders that go into the answer to a report; none if it is not the newest of its machine any more.
-    pub fn orders_for(&mut self, machine: &MachineId, report: (u64, u64)) -> Vec<Order> {
+    pub fn orders_for(
+        &mut self,
+        machine: &MachineId,
+        report: (u64, u64),
+        now: Micros,
+    ) -> Vec<Order> {
+        let newest = self.machines.get(machine).and_then(|m| m.newest);
+        if newest == Some(report) {
+            self.task_to_move(machine, now);
+        }
         let Some(m) = self.machines.get(machine) else {
             return Vec::new();
         };
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -79,10 +79,9 @@
         leading.round_after_now().await;
     }
     let orders = if heard.fresh && leading.may_order(node.clock.now()) {
-        leading
-            .scheduler
-            .borrow_mut()
-            .orders_for(&report.machine, (report.session, report.seq))
+        let at = (report.session, report.seq);
+        let mut scheduler = leading.scheduler.borrow_mut();
+        scheduler.orders_for(&report.machine, at, now)
     } else {
         Vec::new()
     };
