--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -159,6 +159,9 @@
             }
             return;
         }
+        self.details.push(format!(
+            "event=exited task={task} machine={machine} cause={cause:?}"
+        ));
         self.release(&task.job, task.index);
         self.requeue(&task.job, now);
         match cause {
