Story tests; fold within a zone too

Cause: the first story about folding failed: a moving task counted against its own zone, so a one-task job could only move to the other zone.

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -536,7 +536,7 @@
         let zone_fits = |zone: &str| {
             let here = in_zone.get(zone).copied().unwrap_or(0);
             let elsewhere: u32 = in_zone.values().sum::<u32>() - here;
-            zone_takes(job, zone, here) && !(spec.together && elsewhere > 0)
+            zone_takes(job, zone, here, None) && !(spec.together && elsewhere > 0)
         };
         let fit = bins.iter_mut().find(|b| {
             b.free.holds(&need)
--- a/src/scheduler/fold.rs
+++ b/src/scheduler/fold.rs
@@ -1,6 +1,7 @@
 //! Folding: services that stand scattered over half-empty machines are moved together, one at a time, so that machines
 //! can go back. The ordinary path gathers load on low ids only as tasks come; services stay where they once were.
 
+use super::offers::zone_takes;
 use super::*;
 
 /// Room must have been to spare for so long before a machine is folded.
@@ -112,6 +113,7 @@
             return None;
         }
         let need = spec.need();
+        let left = self.machines.get(from)?.zone.as_str();
         self.machines.iter().find_map(|(id, m)| {
             let fits = id != from
                 && m.life == Life::Up
@@ -119,7 +121,9 @@
                 && !m.lost
                 && m.free().holds(&need)
                 && m.has_image(&spec.image)
-                && self.accepts(&task.job, spec, id);
+                && spec.allows(&m.rig, &m.zone, m.spot)
+                && !job.failed_on.contains(id)
+                && zone_takes(job, &m.zone, 0, Some(left));
             fits.then_some(id)
         })
     }
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -173,7 +173,7 @@
         };
         spec.allows(&m.rig, &m.zone, m.spot)
             && !job.failed_on.contains(machine)
-            && zone_takes(job, &m.zone, 0)
+            && zone_takes(job, &m.zone, 0, None)
     }
 
     fn place(&mut self, id: &JobId, index: u32, machine: &MachineId, now: Micros) {
@@ -211,13 +211,19 @@
     }
 }
 
-/// Whether one more task of the job may be in the zone, beside those placed and `planned` more there.
+/// Whether one more task of the job may be in the zone, beside those placed and `planned` more there; a task that
+/// moves away from the zone `leaving` does not count.
 ///
 /// Tasks on machines whose zone is not known yet count against every zone.
-pub(super) fn zone_takes(job: &Job, zone: &str, planned: u32) -> bool {
+pub(super) fn zone_takes(job: &Job, zone: &str, planned: u32, leaving: Option<&str>) -> bool {
     let unknown = job.live_in.get("").copied().unwrap_or(0);
-    let here = job.live_in.get(zone).copied().unwrap_or(0);
-    if job.spec.together && job.live > here {
+    let mut here = job.live_in.get(zone).copied().unwrap_or(0);
+    let mut all = job.live;
+    if let Some(left) = leaving {
+        all -= 1;
+        here -= u32::from(left == zone && here > 0);
+    }
+    if job.spec.together && all > here {
         return false;
     }
     here + unknown + planned < job.spec.zone_cap()
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -1,1 +1,934 @@
+//! Short stories about the scheduler, told against workers and a store that exist only in memory, in virtual time.
 
+use super::*;
+use crate::cloud::{Listed, ListedStatus};
+
+const TOKEN: u64 = 7;
+
+/// A worker as the protocol describes it, as far as the stories need.
+#[derive(Default)]
+struct Worker {
+    zone: String,
+    spot: bool,
+    session: u64,
+    seq: u64,
+    token: u64,
+    notice_s: Option<f64>,
+    tasks: BTreeMap<(String, u64), (TaskState, Option<ExitCause>)>,
+}
+
+impl Worker {
+    fn report(&mut self, name: &str) -> Report {
+        self.seq += 1;
+        let tasks = self
+            .tasks
+            .iter()
+            .map(|((task, attempt), (state, cause))| ReportedTask {
+                task: task.clone(),
+                attempt: *attempt,
+                state: *state,
+                cause: *cause,
+            });
+        Report {
+            machine: MachineId(name.into()),
+            rig: "rig".into(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: self.notice_s,
+            tasks: tasks.collect(),
+        }
+    }
+
+    fn execute(&mut self, orders: &[Order], token: u64) {
+        if token < self.token {
+            return;
+        }
+        self.token = token;
+        for order in orders {
+            match order.clone() {
+                Order::Run { task, attempt } => {
+                    self.tasks
+                        .entry((task, attempt))
+                        .or_insert((TaskState::Running, None));
+                }
+                Order::Stop { task, attempt, .. } => {
+                    if let Some(t) = self.tasks.get_mut(&(task, attempt))
+                        && t.0 != TaskState::Exited
+                    {
+                        *t = (TaskState::Exited, Some(ExitCause::Stopped));
+                    }
+                }
+                Order::Clear { task, attempt } => {
+                    self.tasks.remove(&(task, attempt));
+                }
+            }
+        }
+    }
+
+    fn exit_all(&mut self, cause: ExitCause) {
+        for t in self.tasks.values_mut().filter(|t| t.0 != TaskState::Exited) {
+            *t = (TaskState::Exited, Some(cause));
+        }
+    }
+
+    fn running(&self) -> usize {
+        self.tasks
+            .values()
+            .filter(|t| t.0 != TaskState::Exited)
+            .count()
+    }
+}
+
+/// A leader's scheduler with a store and workers in memory.
+struct Story {
+    s: Scheduler,
+    now: Micros,
+    revision: u64,
+    chunks: BTreeMap<(JobId, u32), (ChunkRecord, u64)>,
+    records: BTreeMap<JobId, JobRecord>,
+    done: BTreeSet<JobId>,
+    workers: BTreeMap<String, Worker>,
+}
+
+fn flavor() -> Flavor {
+    Flavor {
+        name: "rig".into(),
+        cores: 16.0,
+        cards: 2.0,
+        ram_gb: 128.0,
+        cache_gb: 100.0,
+        fetch_gb_per_s: 0.5,
+        price: 6.0,
+        spot_price: 2.0,
+        boot_s: 40.0,
+        zones: vec!["a".into(), "b".into()],
+    }
+}
+
+fn knobs() -> Knobs {
+    Knobs {
+        retry: Micros::millis(400),
+        jitter: Micros::millis(100),
+        idle: None,
+        reserve: None,
+        offers_per_round: 20_000,
+        rent_per_round: 24,
+        report: Micros::secs(3),
+        lease: Micros::secs(36),
+        cancel: Micros::secs(60),
+        list_lag: Micros::secs(6),
+        wait_within: BTreeMap::from([("live".into(), Micros::secs(12))]),
+        guarantee_within: None,
+    }
+}
+
+fn spec(id: &str, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: JobId(id.into()),
+        class: "batch".into(),
+        team: "team".into(),
+        shape: Shape::Array,
+        priority: Priority::Low,
+        tasks,
+        cores: 6.0,
+        cards: 1.0,
+        ram_gb: 48.0,
+        image: "image".into(),
+        image_gb: 1.0,
+        rigs: None,
+        zone: None,
+        together: false,
+        spread: false,
+        spot: true,
+        expect_s: 60.0,
+        checkpoint_s: 30.0,
+        save_s: 4.0,
+        due_s: None,
+    }
+}
+
+fn live(id: &str) -> JobSpec {
+    JobSpec {
+        class: "live".into(),
+        shape: Shape::Service,
+        priority: Priority::Critical,
+        spot: false,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        ..spec(id, 1)
+    }
+}
+
+impl Story {
+    fn new(gpus_max: f64) -> Story {
+        let teams = BTreeMap::from([("team".into(), TeamShare::new(0.0, 0.0, 0.0, gpus_max))]);
+        let now = Micros::secs(1_000);
+        let mut s = Scheduler::new(knobs(), teams, TOKEN, 1, now);
+        s.set_flavors(&[flavor()]);
+        Story {
+            s,
+            now,
+            revision: 100,
+            chunks: BTreeMap::new(),
+            records: BTreeMap::new(),
+            done: BTreeSet::new(),
+            workers: BTreeMap::new(),
+        }
+    }
+
+    /// All controllers restart, or another takes over: a new scheduler gets what was written.
+    fn take_over(&mut self, token: u64) {
+        let teams = self.s.teams.clone();
+        self.s = Scheduler::new(knobs(), teams, token, 1, self.now);
+        self.s.set_flavors(&[flavor()]);
+        for (id, record) in &self.records {
+            let chunks = self.chunks.iter().filter(|((job, _), _)| job == id);
+            let chunks = chunks.map(|((_, n), (r, v))| (*n, r.clone(), *v));
+            self.s.add_job(record, None, chunks, self.now);
+        }
+    }
+
+    fn submit(&mut self, spec: JobSpec) -> JobId {
+        let id = spec.id.clone();
+        self.revision += 1;
+        let record = JobRecord {
+            spec: Rc::new(spec),
+            at: self.revision,
+        };
+        self.s.add_job(&record, None, std::iter::empty(), self.now);
+        self.records.insert(id.clone(), record);
+        id
+    }
+
+    fn worker(&mut self, name: &str, zone: &str, spot: bool) {
+        let worker = Worker {
+            zone: zone.into(),
+            spot,
+            session: 1,
+            ..Worker::default()
+        };
+        self.workers.insert(name.into(), worker);
+        self.beat(name);
+    }
+
+    fn wait(&mut self, seconds: u64) {
+        self.now = self.now + Micros::secs(seconds);
+    }
+
+    fn commit(&mut self) {
+        loop {
+            let batch = self.s.next_batch(20, 36_000);
+            if batch.is_empty() {
+                return;
+            }
+            self.revision += 1;
+            for write in &batch {
+                match write {
+                    Write::Chunk {
+                        job,
+                        chunk,
+                        record,
+                        version,
+                        ..
+                    } => {
+                        let key = (job.clone(), *chunk);
+                        let before = self.chunks.get(&key).map_or(0, |(_, v)| *v);
+                        assert_eq!(before, *version, "a write must replace what was read");
+                        self.chunks.insert(key, (record.clone(), self.revision));
+                    }
+                    Write::Done { job, .. } => {
+                        self.done.insert(job.clone());
+                    }
+                    Write::Forget { job, .. } => self.chunks.retain(|(j, _), _| j != job),
+                }
+            }
+            self.s.batch_applied(&batch, self.revision);
+        }
+    }
+
+    fn round(&mut self) {
+        self.s.round(self.now);
+        self.commit();
+    }
+
+    /// A report and the orders of its answer, which do not reach the worker yet.
+    fn ask(&mut self, name: &str) -> Vec<Order> {
+        let report = self.workers.get_mut(name).expect("a worker").report(name);
+        self.deliver(&report)
+    }
+
+    fn deliver(&mut self, report: &Report) -> Vec<Order> {
+        self.s.on_report(report, self.now);
+        self.round();
+        let at = (report.session, report.seq);
+        self.s.orders_for(&report.machine, at, self.now)
+    }
+
+    /// A report whose answer arrives.
+    fn beat(&mut self, name: &str) {
+        let orders = self.ask(name);
+        let token = self.s.token();
+        self.workers
+            .get_mut(name)
+            .expect("a worker")
+            .execute(&orders, token);
+    }
+
+    fn beat_all(&mut self) {
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            self.beat(&name);
+        }
+    }
+
+    fn running(&self) -> usize {
+        self.workers.values().map(Worker::running).sum()
+    }
+
+    fn free_of(&self, name: &str) -> usize {
+        self.s.machines[&MachineId(name.into())]
+            .free()
+            .count_of(&spec("j-0", 1).need())
+    }
+}
+
+fn runs(orders: &[Order]) -> usize {
+    orders
+        .iter()
+        .filter(|o| matches!(o, Order::Run { .. }))
+        .count()
+}
+
+#[test]
+fn a_job_is_placed_on_low_ids_run_and_done() {
+    let mut t = Story::new(0.0);
+    for name in ["m-3", "m-1", "m-2"] {
+        t.worker(name, "a", false);
+    }
+    let job = t.submit(spec("j-1", 3));
+    t.round();
+    t.beat_all();
+    assert_eq!(t.workers["m-1"].running(), 2);
+    assert_eq!(t.workers["m-2"].running(), 1);
+    assert_eq!(t.workers["m-3"].running(), 0);
+    for w in t.workers.values_mut() {
+        w.exit_all(ExitCause::Done);
+    }
+    t.beat_all();
+    t.beat_all();
+    t.commit();
+    assert!(t.done.contains(&job));
+    assert!(
+        t.workers.values().all(|w| w.tasks.is_empty()),
+        "all were cleared"
+    );
+}
+
+#[test]
+fn a_start_is_told_only_after_its_placement_is_written() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(spec("j-1", 1));
+    t.s.round(t.now);
+    let report = t.workers.get_mut("m-1").unwrap().report("m-1");
+    t.s.on_report(&report, t.now);
+    let at = (report.session, report.seq);
+    assert_eq!(runs(&t.s.orders_for(&report.machine, at, t.now)), 0);
+    t.commit();
+    assert_eq!(runs(&t.s.orders_for(&report.machine, at, t.now)), 1);
+    assert_eq!(
+        runs(&t.s.orders_for(&report.machine, at, t.now)),
+        0,
+        "told once"
+    );
+}
+
+#[test]
+fn a_lost_answer_is_repeated_with_the_same_attempt_and_a_doubled_report_gets_nothing() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(spec("j-1", 1));
+    t.round();
+    let lost = t.ask("m-1");
+    assert_eq!(runs(&lost), 1);
+    let report = t.workers.get_mut("m-1").unwrap().report("m-1");
+    assert_eq!(t.deliver(&report), lost, "the same attempt again");
+    assert_eq!(
+        t.deliver(&report),
+        vec![],
+        "a copy of a report changes nothing"
+    );
+}
+
+#[test]
+fn a_finish_is_cleared_only_after_it_is_written() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(spec("j-1", 1));
+    t.round();
+    t.beat("m-1");
+    let w = t.workers.get_mut("m-1").unwrap();
+    w.exit_all(ExitCause::Done);
+    let report = w.report("m-1");
+    t.s.on_report(&report, t.now);
+    let at = (report.session, report.seq);
+    assert_eq!(t.s.orders_for(&report.machine, at, t.now), vec![]);
+    t.commit();
+    let orders = t.s.orders_for(&report.machine, at, t.now);
+    assert!(matches!(orders[..], [Order::Clear { .. }]));
+}
+
+#[test]
+fn a_new_leader_does_not_take_absence_for_proof_until_its_token_was_seen() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(spec("j-1", 1));
+    t.round();
+    // The old leader's start is on its way when the new one takes over.
+    let late = t.ask("m-1");
+    t.take_over(TOKEN + 1);
+    t.worker("m-2", "a", false);
+    let orders = t.ask("m-1");
+    assert_eq!(
+        runs(&orders),
+        0,
+        "the report shows the task absent, but under the old token"
+    );
+    assert_eq!(
+        t.workers["m-2"].running(),
+        0,
+        "so it is not offered elsewhere"
+    );
+    // The late start arrives first after all: the task runs once, where it was placed.
+    t.workers.get_mut("m-1").unwrap().execute(&late, TOKEN);
+    t.workers
+        .get_mut("m-1")
+        .unwrap()
+        .execute(&orders, TOKEN + 1);
+    t.beat_all();
+    t.beat_all();
+    assert_eq!(t.running(), 1);
+}
+
+#[test]
+fn a_new_leader_frees_what_is_absent_under_its_own_token() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(spec("j-1", 1));
+    t.round();
+    let late = t.ask("m-1");
+    t.take_over(TOKEN + 1);
+    t.beat("m-1");
+    t.beat("m-1");
+    // The deposed leader's answer is dropped, as its token is lower now.
+    t.workers.get_mut("m-1").unwrap().execute(&late, TOKEN);
+    t.beat("m-1");
+    assert_eq!(t.running(), 1);
+    let attempts: Vec<u64> = t.workers["m-1"].tasks.keys().map(|(_, a)| *a).collect();
+    assert_eq!(attempts, vec![2], "attempts only rise");
+}
+
+#[test]
+fn after_a_restart_of_all_controllers_nothing_runs_twice_and_nothing_is_lost() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.worker("m-2", "b", false);
+    t.submit(spec("j-1", 4));
+    t.round();
+    t.beat_all();
+    assert_eq!(t.running(), 4);
+    t.take_over(TOKEN + 1);
+    t.beat_all();
+    t.beat_all();
+    assert_eq!(t.running(), 4);
+    for w in t.workers.values_mut() {
+        w.exit_all(ExitCause::Done);
+    }
+    t.beat_all();
+    t.beat_all();
+    assert_eq!(t.done.len(), 1);
+}
+
+#[test]
+fn a_cancelled_job_is_stopped_at_once_and_never_started_again() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    let job = t.submit(spec("j-1", 4));
+    t.round();
+    t.beat("m-1");
+    assert_eq!(t.running(), 2);
+    let end = End {
+        how: Final::Aborted,
+        at: 0,
+        done: 0,
+    };
+    t.s.end_job(&job, end);
+    let orders = t.ask("m-1");
+    assert!(
+        orders
+            .iter()
+            .all(|o| matches!(o, Order::Stop { slack_s, .. } if *slack_s == 0.0))
+    );
+    t.workers.get_mut("m-1").unwrap().execute(&orders, TOKEN);
+    t.beat("m-1");
+    t.beat("m-1");
+    assert_eq!(t.running(), 0);
+    assert!(t.workers["m-1"].tasks.is_empty());
+}
+
+#[test]
+fn a_cancellation_that_beats_the_write_takes_the_placement_back() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    let job = t.submit(spec("j-1", 1));
+    t.s.round(t.now);
+    let batch = t.s.next_batch(20, 36_000);
+    assert!(matches!(batch[0], Write::Chunk { places: true, .. }));
+    // The commit found the end key taken.
+    t.s.batch_dropped(&batch);
+    t.s.job_is_over(&job);
+    t.commit();
+    assert_eq!(runs(&t.ask("m-1")), 0);
+    assert_eq!(t.free_of("m-1"), 2);
+}
+
+#[test]
+fn a_machine_that_cannot_be_told_of_a_cancellation_goes_back_in_time() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    let job = t.submit(spec("j-1", 1));
+    t.round();
+    t.beat("m-1");
+    t.s.end_job(
+        &job,
+        End {
+            how: Final::Aborted,
+            at: 0,
+            done: 0,
+        },
+    );
+    let half = Micros::secs(30).0;
+    assert!(t.s.plan_fleet(t.now, half).give_back.is_empty());
+    let most = Micros::secs(37).0;
+    assert_eq!(
+        t.s.plan_fleet(t.now, most).give_back,
+        vec![MachineId("m-1".into())]
+    );
+}
+
+#[test]
+fn a_silent_machine_keeps_its_tasks_until_the_cloud_says_that_it_is_gone() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.worker("m-2", "a", false);
+    t.submit(spec("j-1", 1));
+    t.round();
+    t.beat("m-1");
+    t.wait(30);
+    t.beat("m-2");
+    assert_eq!(t.workers["m-2"].running(), 0, "silence is no proof");
+    let plan = t.s.plan_fleet(t.now, 0);
+    assert_eq!(plan.give_back, vec![MachineId("m-1".into())]);
+    t.beat("m-2");
+    assert_eq!(
+        t.workers["m-2"].running(),
+        0,
+        "nor is the request to return it"
+    );
+    t.s.returned(&plan.give_back, t.now);
+    t.round();
+    t.beat("m-2");
+    assert_eq!(t.workers["m-2"].running(), 1);
+    // A report that was held up on the way does not bring the machine back.
+    let orders = t.ask("m-1");
+    assert_eq!(orders, vec![]);
+}
+
+#[test]
+fn a_zone_that_falls_silent_together_is_not_given_up() {
+    let mut t = Story::new(0.0);
+    for i in 0..8 {
+        t.worker(&format!("m-a{i}"), "a", false);
+        t.worker(&format!("m-b{i}"), "b", false);
+    }
+    t.wait(20);
+    for i in 0..8 {
+        t.beat(&format!("m-a{i}"));
+    }
+    assert!(t.s.plan_fleet(t.now, 0).give_back.is_empty());
+    // Another controller hears half of them; of the others the leases are over in the end.
+    t.wait(25);
+    let heard: Vec<MachineId> = (0..4).map(|i| MachineId(format!("m-b{i}"))).collect();
+    t.s.on_heard(&heard, t.now);
+    for i in 0..8 {
+        t.beat(&format!("m-a{i}"));
+    }
+    let given: Vec<String> =
+        t.s.plan_fleet(t.now, 0)
+            .give_back
+            .into_iter()
+            .map(|m| m.0)
+            .collect();
+    assert_eq!(given, ["m-b4", "m-b5", "m-b6", "m-b7"]);
+}
+
+#[test]
+fn a_wave_of_taken_spot_machines_is_not_taken_for_a_cut() {
+    let mut t = Story::new(0.0);
+    for i in 0..8 {
+        t.worker(&format!("m-a{i}"), "a", i >= 2);
+    }
+    t.wait(20);
+    t.beat("m-a0");
+    t.beat("m-a1");
+    assert_eq!(t.s.plan_fleet(t.now, 0).give_back.len(), 6);
+}
+
+#[test]
+fn what_the_list_lacks_is_lost_only_when_it_cannot_be_the_lists_age() {
+    let mut t = Story::new(0.0);
+    let listed = |name: &str, age_s: f64| Listed {
+        machine: MachineId(name.into()),
+        rig: "rig".into(),
+        zone: "a".into(),
+        spot: false,
+        status: ListedStatus::Running,
+        age_s,
+    };
+    t.s.on_list(&[listed("m-1", 5.0), listed("m-2", 100.0)], t.now);
+    t.s.on_list(&[], t.now);
+    assert_eq!(
+        t.s.plan_fleet(t.now, 0).give_back,
+        vec![MachineId("m-2".into())]
+    );
+}
+
+#[test]
+fn a_machine_failing_everything_is_left_out_and_given_back() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.worker("m-2", "a", false);
+    t.worker("m-3", "a", false);
+    for id in ["j-1", "j-2"] {
+        t.submit(spec(id, 1));
+        t.round();
+        t.beat("m-1");
+        t.workers.get_mut("m-1").unwrap().exit_all(ExitCause::Error);
+        t.beat("m-1");
+    }
+    t.beat_all();
+    assert_eq!(t.workers["m-1"].running(), 0);
+    assert_eq!(t.running(), 2, "both run elsewhere");
+    assert!(
+        t.s.plan_fleet(t.now, 0)
+            .give_back
+            .contains(&MachineId("m-1".into()))
+    );
+}
+
+#[test]
+fn a_job_failing_everywhere_backs_off_and_no_machine_is_blamed() {
+    let mut t = Story::new(0.0);
+    for i in 1..=4 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    t.submit(spec("j-1", 1));
+    for _ in 0..3 {
+        t.round();
+        t.beat_all();
+        for w in t.workers.values_mut() {
+            w.exit_all(ExitCause::Error);
+        }
+        t.beat_all();
+        t.wait(1);
+    }
+    t.round();
+    t.beat_all();
+    assert_eq!(t.running(), 0, "it waits");
+    assert!(
+        t.s.machines
+            .values()
+            .all(|m| m.life == Life::Up && m.failed_jobs.is_empty())
+    );
+    t.wait(40);
+    t.round();
+    t.beat_all();
+    assert_eq!(
+        t.running(),
+        1,
+        "and is tried again, as a mistake may be on the machines' side after all"
+    );
+}
+
+#[test]
+fn a_stopped_task_counts_towards_the_limit_until_it_is_gone() {
+    let mut t = Story::new(2.0);
+    t.worker("m-1", "a", false);
+    t.worker("m-2", "a", false);
+    let first = t.submit(spec("j-1", 2));
+    t.round();
+    t.beat_all();
+    t.submit(spec("j-2", 2));
+    t.s.end_job(
+        &first,
+        End {
+            how: Final::Aborted,
+            at: 0,
+            done: 0,
+        },
+    );
+    t.round();
+    // m-2 has room, but the team's two tasks on m-1 are not proven to be gone.
+    t.beat("m-2");
+    assert_eq!(t.workers["m-2"].running(), 0);
+    t.beat("m-1");
+    t.beat("m-1");
+    t.wait(1);
+    t.round();
+    t.beat_all();
+    assert_eq!(t.running(), 2);
+}
+
+#[test]
+fn spread_and_together_hold_for_every_task_that_may_be_there() {
+    let mut t = Story::new(0.0);
+    for i in 0..4 {
+        t.worker(&format!("m-a{i}"), "a", false);
+    }
+    t.worker("m-b0", "b", false);
+    t.submit(JobSpec {
+        spread: true,
+        ..spec("j-1", 5)
+    });
+    t.submit(JobSpec {
+        together: true,
+        ..spec("j-2", 3)
+    });
+    t.round();
+    t.beat_all();
+    let in_zone = |t: &Story, job: &str, zone: &str| -> usize {
+        let there = t.workers.values().filter(|w| w.zone == zone);
+        there
+            .flat_map(|w| w.tasks.keys())
+            .filter(|(task, _)| task.starts_with(job))
+            .count()
+    };
+    assert_eq!(in_zone(&t, "j-1/", "a"), 3, "five may have three in a zone");
+    assert_eq!(in_zone(&t, "j-1/", "b"), 2);
+    assert_eq!(in_zone(&t, "j-2/", "a"), 3);
+}
+
+#[test]
+fn a_critical_task_takes_the_place_of_a_low_one_and_keeps_it() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(spec("j-1", 3));
+    t.round();
+    t.beat("m-1");
+    t.submit(live("j-2"));
+    t.round();
+    let stops = t.ask("m-1");
+    assert!(
+        matches!(stops[..], [Order::Stop { slack_s, .. }] if slack_s >= 4.0),
+        "it may save"
+    );
+    t.workers.get_mut("m-1").unwrap().execute(&stops, TOKEN);
+    // The victim and the third task wait as well, but the room was made for the critical one.
+    t.beat("m-1");
+    let names: Vec<&String> = t.workers["m-1"].tasks.keys().map(|(n, _)| n).collect();
+    assert!(names.iter().any(|n| n.starts_with("j-2/")), "{names:?}");
+}
+
+#[test]
+fn low_work_never_stops_critical_work() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(JobSpec {
+        class: "other".into(),
+        tasks: 2,
+        ..live("j-1")
+    });
+    t.round();
+    t.beat("m-1");
+    t.submit(JobSpec {
+        class: "live".into(),
+        ..spec("j-2", 1)
+    });
+    t.round();
+    assert_eq!(t.ask("m-1"), vec![]);
+}
+
+#[test]
+fn a_notice_sends_saving_tasks_away_and_takes_no_more() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", true);
+    t.worker("m-2", "a", true);
+    t.submit(spec("j-1", 1));
+    t.round();
+    t.beat("m-1");
+    t.workers.get_mut("m-1").unwrap().notice_s = Some(15.0);
+    t.beat("m-1");
+    t.beat("m-1");
+    t.beat("m-2");
+    assert_eq!(t.workers["m-1"].running(), 0);
+    assert_eq!(t.workers["m-2"].running(), 1);
+}
+
+#[test]
+fn unplaced_tasks_rent_cheap_machines_once_and_another_zone_when_there_is_none() {
+    let mut t = Story::new(0.0);
+    t.submit(spec("j-1", 4));
+    t.round();
+    let rent = t.s.plan_fleet(t.now, 0).rent;
+    let count: usize = rent.iter().map(|w| w.count).sum();
+    assert_eq!(count, 2);
+    assert!(rent.iter().all(|w| w.pool.spot));
+    for want in &rent {
+        t.s.rent_started(want);
+    }
+    assert_eq!(
+        t.s.plan_fleet(t.now, 0).rent,
+        vec![],
+        "what is on its way counts"
+    );
+    for want in &rent {
+        t.s.rent_done(want, &[], t.now);
+    }
+    for want in t.s.plan_fleet(t.now, 0).rent {
+        assert!(rent.iter().all(|w| w.pool != want.pool), "{want:?}");
+    }
+}
+
+#[test]
+fn machines_that_never_boot_are_given_back_and_an_unexpected_one_is_used() {
+    let mut t = Story::new(0.0);
+    let pool = Pool {
+        rig: "rig".into(),
+        zone: "a".into(),
+        spot: true,
+    };
+    t.s.inherit_rented(&pool, &[MachineId("m-1".into())], t.now);
+    t.wait(60);
+    assert!(t.s.plan_fleet(t.now, 0).give_back.is_empty());
+    t.wait(30);
+    assert_eq!(
+        t.s.plan_fleet(t.now, 0).give_back,
+        vec![MachineId("m-1".into())]
+    );
+    t.submit(spec("j-1", 1));
+    t.worker("m-9", "b", false);
+    t.beat("m-9");
+    assert_eq!(t.running(), 1);
+}
+
+// Guards against counting the moving task against its own zone, by which only moves to other zones were ever made.
+#[test]
+fn a_scattered_service_is_moved_and_its_machine_goes_back() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.reserve = Some(0);
+    t.s.set_steady(true, &[], t.now);
+    t.worker("m-1", "a", false);
+    let filler = t.submit(live("j-0"));
+    t.submit(live("j-1"));
+    t.round();
+    t.beat("m-1");
+    t.worker("m-2", "a", false);
+    t.submit(live("j-2"));
+    t.round();
+    t.beat("m-2");
+    let end = End {
+        how: Final::Aborted,
+        at: u64::MAX,
+        done: 0,
+    };
+    t.s.end_job(&filler, end);
+    t.beat("m-1");
+    t.beat("m-1");
+    assert_eq!(t.workers["m-1"].running(), 1);
+    assert_eq!(t.workers["m-2"].running(), 1);
+    let mut given = Vec::new();
+    for _ in 0..60 {
+        t.wait(1);
+        given.extend(t.s.plan_fleet(t.now, u64::MAX).give_back);
+        t.beat("m-1");
+        t.wait(1);
+        t.beat("m-2");
+    }
+    assert_eq!(t.workers["m-1"].running(), 2);
+    assert!(given.contains(&MachineId("m-2".into())));
+}
+
+#[test]
+fn a_hundred_thousand_tasks_fit_into_values_and_transactions() {
+    let mut t = Story::new(0.0);
+    for i in 0..40 {
+        t.worker(&format!("m-{i:06}"), "a", false);
+    }
+    t.submit(JobSpec {
+        cores: 0.1,
+        cards: 0.0,
+        ram_gb: 0.1,
+        ..spec("j-1", MAX_TASKS)
+    });
+    for _ in 0..4 {
+        t.wait(1);
+        t.s.round(t.now);
+        let batch = t.s.next_batch(20, 36_000);
+        let mut bytes = 0;
+        for write in &batch {
+            if let Write::Chunk { record, .. } = write {
+                let size = serde_json::to_string(record).unwrap().len();
+                assert!(size < 4 * 1024, "a value of {size} bytes");
+                bytes += size;
+            }
+        }
+        assert!(batch.len() <= 20 && bytes < 60 * 1024, "{bytes} bytes");
+        t.revision += 1;
+        t.s.batch_applied(&batch, t.revision);
+    }
+}
+
+#[test]
+fn an_overload_is_offered_to_samples_and_the_round_stays_bounded() {
+    let mut t = Story::new(0.0);
+    for i in 0..200 {
+        t.worker(&format!("m-{i:06}"), "a", false);
+    }
+    t.s.knobs.offers_per_round = 5_000;
+    for i in 0..2_000 {
+        t.submit(JobSpec {
+            cores: 17.0,
+            ..spec(&format!("j-{i:06}"), 3)
+        });
+    }
+    t.s.round(t.now);
+    // Two passes over at least eight machines for each job: far from the 800,000 of a full search.
+    assert!(
+        t.s.offers_made <= 2 * 8 * 2_000,
+        "{} offers",
+        t.s.offers_made
+    );
+}
+
+#[test]
+fn a_running_task_without_placement_is_adopted_not_started_elsewhere() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.worker("m-2", "a", false);
+    let stray = ("j-1/0".to_owned(), 5);
+    t.workers
+        .get_mut("m-2")
+        .unwrap()
+        .tasks
+        .insert(stray, (TaskState::Running, None));
+    t.submit(spec("j-1", 1));
+    let report = t.workers.get_mut("m-2").unwrap().report("m-2");
+    t.s.on_report(&report, t.now);
+    t.round();
+    t.beat_all();
+    assert_eq!(t.running(), 1);
+    assert_eq!(t.workers["m-2"].running(), 1);
+}
