A controller without the state service casts no doubt on its zone

Cause: on suva rough machines that died at 320 s were given up at 335 s only, because a controller refused by the state service counted as out of reach; it passes reports on as ever.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -174,24 +174,23 @@
         self.heard_new.notify(usize::MAX);
     }
 
-    /// Whether another controller answered lately and reaches the state service.
-    fn is_well(&self, node: &str) -> bool {
+    /// Whether another controller answered lately. One that lacks only the state service passes reports on as ever.
+    fn answers(&self, node: &str) -> bool {
         let now = self.clock.now();
         let words = self.words.borrow();
-        let word = words.get(node);
-        word.is_some_and(|w| w.known.state_reachable && now.since(w.at) < LATELY)
+        words.get(node).is_some_and(|w| now.since(w.at) < LATELY)
     }
 
-    /// Whether all controllers are well, this one included.
-    pub fn all_well(&self) -> bool {
-        self.store.reachable() && self.peers.iter().all(|p| self.is_well(&p.node))
+    /// Whether all other controllers answer.
+    pub fn all_answer(&self) -> bool {
+        self.peers.iter().all(|p| self.answers(&p.node))
     }
 
-    /// The zones of controllers that are not well.
+    /// The zones of controllers that do not answer.
     pub fn doubtful_zones(&self) -> Vec<String> {
         let members = self.platform.members.iter();
-        let unwell = members.filter(|m| !self.is_well(&m.node));
-        unwell.map(|m| m.zone.clone()).collect()
+        let silent = members.filter(|m| !self.answers(&m.node));
+        silent.map(|m| m.zone.clone()).collect()
     }
 
     /// Whether this controller can take requests.
