Keep machines' images for the next leader

Cause: after a change of leader only images of running tasks were known; starts took 20 s on machines picked blindly (suva troubles 258-320 s).

--- a/src/leader.rs
+++ b/src/leader.rs
@@ -6,7 +6,9 @@
 use crate::http::within;
 use crate::scheduler::{End, Final, Flavor, JobId, MachineId, Scheduler, Want, Write};
 use crate::state::{Change, Condition, Outcome, StateError, Urgency};
-use crate::store::{FLAVORS, LEADER, RENTALS, RentalRecord, Seen, chunk_key, end_key, job_key};
+use crate::store::{
+    FLAVORS, LEADER, RENTALS, RentalRecord, Seen, chunk_key, end_key, images_key, job_key,
+};
 use crate::units::Micros;
 use async_io::Timer;
 use event_listener::Event;
@@ -79,6 +81,9 @@
             let chunks = chunks.map(|(n, c)| (*n, c.value.clone(), c.version));
             scheduler.add_job(&job.value, view.ends.get(id).copied(), chunks, now);
         }
+        for (machine, images) in &view.images {
+            scheduler.inherit_images(machine, images);
+        }
         Leading {
             leadership,
             scheduler: RefCell::new(scheduler),
@@ -289,6 +294,13 @@
                 when.insert(end_key(job), 0);
                 changes.push(put(end_key(job), json!(done_record(*tasks, at))));
             }
+            Write::Images {
+                machine,
+                images: Some(images),
+            } => changes.push(put(images_key(machine), json!(images))),
+            Write::Images { machine, .. } => changes.push(Change::Delete {
+                key: images_key(machine),
+            }),
             Write::Forget { job, chunks, whole } => {
                 for (chunk, version) in chunks {
                     let key = chunk_key(job, *chunk);
@@ -338,7 +350,7 @@
     }
     let over: Vec<JobId> = batch
         .iter()
-        .map(Write::job)
+        .filter_map(Write::job)
         .filter(|job| failed.contains(&end_key(job)))
         .cloned()
         .collect();
@@ -369,6 +381,9 @@
             job, chunk, record, ..
         } => (chunk_key(job, *chunk), Some(json!(record))),
         Write::Done { job, tasks } => (end_key(job), Some(json!(done_record(*tasks, at)))),
+        Write::Images { machine, images } => {
+            (images_key(machine), images.as_ref().map(|i| json!(i)))
+        }
         Write::Forget { job, chunks, .. } => match chunks.first() {
             Some((chunk, _)) => (chunk_key(job, *chunk), None),
             None => (job_key(job), None),
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -154,6 +154,8 @@
                 self.requeue(&task.job, now);
             }
             self.machines.remove(id);
+            self.known_images.remove(id);
+            self.new_images.insert(id.clone());
             if self.gone.insert(id.clone()) {
                 self.gone_order.push_back(id.clone());
             }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -81,6 +81,13 @@
         /// Its number of tasks.
         tasks: u32,
     },
+    /// The images that a machine has, for the next leader; none: the machine is gone.
+    Images {
+        /// The machine.
+        machine: MachineId,
+        /// Its images with their sizes.
+        images: Option<Vec<CachedImage>>,
+    },
     /// Removal of the records of a job that is over and has no task left.
     Forget {
         /// The job.
@@ -96,19 +103,24 @@
     /// How many puts and deletes it takes.
     pub fn ops(&self) -> usize {
         match self {
-            Write::Chunk { .. } | Write::Done { .. } => 1,
+            Write::Chunk { .. } | Write::Done { .. } | Write::Images { .. } => 1,
             Write::Forget { chunks, whole, .. } => chunks.len() + usize::from(*whole),
         }
     }
 
-    /// The job it concerns.
-    pub fn job(&self) -> &JobId {
+    /// The job it concerns, if any.
+    pub fn job(&self) -> Option<&JobId> {
         match self {
-            Write::Chunk { job, .. } | Write::Done { job, .. } | Write::Forget { job, .. } => job,
+            Write::Chunk { job, .. } | Write::Done { job, .. } | Write::Forget { job, .. } => {
+                Some(job)
+            }
+            Write::Images { .. } => None,
         }
     }
 }
 
+/// Machines whose images go into one batch.
+const IMAGES_PER_BATCH: usize = 4;
 /// Names of machines that are gone, of which late reports and lists may still speak.
 const GONE_KEPT: usize = 20_000;
 
@@ -126,6 +138,10 @@
     dirty: BTreeSet<(JobId, u32)>,
     finished: BTreeSet<JobId>,
     over: BTreeSet<JobId>,
+    /// Machines whose images are to be written down.
+    new_images: BTreeSet<MachineId>,
+    /// Images of machines that have not reported to this leader yet.
+    known_images: BTreeMap<MachineId, Vec<CachedImage>>,
     gone: HashSet<MachineId>,
     gone_order: VecDeque<MachineId>,
     fleet: fleet::Fleet,
@@ -160,6 +176,8 @@
             dirty: BTreeSet::new(),
             finished: BTreeSet::new(),
             over: BTreeSet::new(),
+            new_images: BTreeSet::new(),
+            known_images: BTreeMap::new(),
             gone: HashSet::new(),
             gone_order: VecDeque::new(),
             fleet: fleet::Fleet::default(),
@@ -422,12 +440,30 @@
             });
         }
         self.add_ends(&mut batch, &mut left);
+        self.add_images(&mut batch, &mut left);
         if batch.is_empty() {
             self.add_forgets(&mut batch, left);
         }
         batch
     }
 
+    /// Images seen on machines, a few at a time as they matter least.
+    fn add_images(&mut self, batch: &mut Vec<Write>, left: &mut usize) {
+        for _ in 0..IMAGES_PER_BATCH.min(*left) {
+            let Some(machine) = self.new_images.pop_first() else {
+                return;
+            };
+            *left -= 1;
+            let images = self.machines.get(&machine).map(|m| m.images.clone());
+            batch.push(Write::Images { machine, images });
+        }
+    }
+
+    /// What an earlier leader knew of a machine's images.
+    pub fn inherit_images(&mut self, machine: &MachineId, images: &[CachedImage]) {
+        self.known_images.insert(machine.clone(), images.to_vec());
+    }
+
     /// Ends of jobs whose every finish is written.
     fn add_ends(&mut self, batch: &mut Vec<Write>, left: &mut usize) {
         for id in &self.finished {
@@ -492,6 +528,7 @@
                 Write::Done { job, .. } => {
                     self.finished.remove(job);
                 }
+                Write::Images { .. } => {}
                 Write::Forget { job, chunks, whole } => self.forget_applied(job, chunks, *whole),
             }
         }
@@ -545,6 +582,9 @@
                         j.ending = j.end.is_some();
                     }
                 }
+                Write::Images { machine, .. } => {
+                    self.new_images.insert(machine.clone());
+                }
                 Write::Forget { .. } => {}
             }
         }
--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -636,6 +636,9 @@
     }
 }
 
+/// An image's name and its size in GB.
+pub type CachedImage = (String, f64);
+
 /// How far a machine is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Life {
@@ -683,7 +686,7 @@
     /// Whether the cloud says that it is gone or has failed.
     pub lost: bool,
     /// Cached images with their sizes, the least recently used first.
-    pub images: Vec<(String, f64)>,
+    pub images: Vec<CachedImage>,
     /// Jobs that failed on it with none succeeding since.
     pub failed_jobs: BTreeSet<JobId>,
     /// Since when nothing is on it.
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -46,6 +46,8 @@
         if m.life == Life::Booting {
             m.life = Life::Up;
             m.idle_since = Some(now);
+            m.images
+                .extend(self.known_images.remove(&r.machine).unwrap_or_default());
             let took = now.since(m.since);
             self.notes.push(format!(
                 "event=machine_up machine={} zone={} spot={} after={took}",
@@ -111,6 +113,7 @@
                     }
                     TaskState::Running if p.running_since.is_none() => {
                         p.running_since = Some(now);
+                        self.new_images.insert(r.machine.clone());
                         self.details
                             .push(format!("event=running task={task} machine={}", r.machine));
                         self.note_image(&r.machine, &spec);
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -90,6 +90,7 @@
     chunks: BTreeMap<(JobId, u32), (ChunkRecord, u64)>,
     records: BTreeMap<JobId, JobRecord>,
     done: BTreeSet<JobId>,
+    images: BTreeMap<MachineId, Vec<CachedImage>>,
     workers: BTreeMap<String, Worker>,
 }
 
@@ -175,6 +176,7 @@
             chunks: BTreeMap::new(),
             records: BTreeMap::new(),
             done: BTreeSet::new(),
+            images: BTreeMap::new(),
             workers: BTreeMap::new(),
         }
     }
@@ -189,6 +191,9 @@
             let chunks = chunks.map(|((_, n), (r, v))| (*n, r.clone(), *v));
             self.s.add_job(record, None, chunks, self.now);
         }
+        for (machine, images) in &self.images {
+            self.s.inherit_images(machine, images);
+        }
     }
 
     fn submit(&mut self, spec: JobSpec) -> JobId {
@@ -242,6 +247,12 @@
                     Write::Done { job, .. } => {
                         self.done.insert(job.clone());
                     }
+                    Write::Images { machine, images } => {
+                        match images {
+                            Some(i) => self.images.insert(machine.clone(), i.clone()),
+                            None => self.images.remove(machine),
+                        };
+                    }
                     Write::Forget { job, .. } => self.chunks.retain(|(j, _), _| j != job),
                 }
             }
@@ -932,3 +943,37 @@
     assert_eq!(t.running(), 1);
     assert_eq!(t.workers["m-2"].running(), 1);
 }
+
+// Guards against slow starts after a change of leader, when nobody knew any more which machine had which image.
+#[test]
+fn a_new_leader_knows_which_machine_has_an_image() {
+    let mut t = Story::new(0.0);
+    t.worker("m-2", "a", false);
+    let first = t.submit(spec("j-1", 1));
+    t.round();
+    t.beat("m-2");
+    t.beat("m-2");
+    t.s.end_job(
+        &first,
+        End {
+            how: Final::Aborted,
+            at: 0,
+            done: 0,
+        },
+    );
+    t.beat("m-2");
+    t.beat("m-2");
+    t.commit();
+    t.records.remove(&first);
+    t.worker("m-1", "a", false);
+    t.take_over(TOKEN + 1);
+    t.beat_all();
+    t.submit(spec("j-2", 1));
+    t.round();
+    t.beat_all();
+    assert_eq!(t.workers["m-2"].running(), 1);
+    let gone = MachineId("m-2".into());
+    t.s.returned(std::slice::from_ref(&gone), t.now);
+    t.commit();
+    assert!(!t.images.contains_key(&gone));
+}
--- a/src/store.rs
+++ b/src/store.rs
@@ -1,7 +1,9 @@
 //! The keys in the state service, a cached view of them kept by a watch, and the read barrier.
 
 use crate::http::within;
-use crate::scheduler::{ChunkRecord, End, Final, Flavor, JobId, JobRecord, MachineId, Pool};
+use crate::scheduler::{
+    CachedImage, ChunkRecord, End, Final, Flavor, JobId, JobRecord, MachineId, Pool,
+};
 use crate::state::{Event as KeyEvent, State, StateError, Urgency};
 use crate::units::Micros;
 use async_io::Timer;
@@ -57,6 +59,11 @@
     format!("r/heard/{node}")
 }
 
+/// The key of the images that a machine has.
+pub fn images_key(machine: &MachineId) -> String {
+    format!("r/images/{machine}")
+}
+
 /// A clock of whole microseconds that only goes forward.
 ///
 /// It starts a day late, so that what began before this process did can be expressed.
@@ -155,6 +162,8 @@
     pub ends: HashMap<JobId, End>,
     /// Chunks of jobs.
     pub runs: BTreeMap<JobId, BTreeMap<u32, Versioned<ChunkRecord>>>,
+    /// Images that machines have.
+    pub images: BTreeMap<MachineId, Vec<CachedImage>>,
     /// Who leads; the version is the token.
     pub leader: Option<Versioned<LeaderRecord>>,
     /// The last token.
@@ -206,6 +215,11 @@
                 .insert(chunk, Versioned { value, version });
             return Ok(None);
         }
+        if let Some(machine) = rest.strip_prefix("images/") {
+            self.images
+                .insert(MachineId(machine.to_owned()), parse(value)?);
+            return Ok(None);
+        }
         if rest.starts_with("heard/") {
             return Ok(Some(Seen::Heard(parse(value)?)));
         }
@@ -247,6 +261,8 @@
                     self.runs.remove(&id);
                 }
             }
+        } else if let Some(machine) = rest.strip_prefix("images/") {
+            self.images.remove(&MachineId(machine.to_owned()));
         } else if key == LEADER && self.leader.as_ref().is_some_and(|l| l.version <= version) {
             self.leader = None;
         }
