--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -149,7 +149,13 @@
                 Some(m) => m.held.keys().cloned().collect(),
                 None => Vec::new(),
             };
+            let spot = self.machines.get(id).is_some_and(|m| m.spot);
             for task in held {
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    let p = job.placement(task.index);
+                    let ran = p.is_some_and(|p| p.running_since.is_some());
+                    job.lost_on_spot |= spot && ran && job.spec.save_slack() == 0.0;
+                }
                 self.release(&task.job, task.index);
                 self.requeue(&task.job, now);
             }
@@ -542,7 +548,7 @@
         };
         let fit = bins.iter_mut().find(|b| {
             b.free.holds(&need)
-                && spec.allows(&b.pool.rig, &b.pool.zone, b.pool.spot)
+                && job.allows(&b.pool.rig, &b.pool.zone, b.pool.spot)
                 && zone_fits(&b.pool.zone)
         });
         if let Some(bin) = fit {
@@ -552,7 +558,7 @@
         if bins.iter().filter(|b| b.new).count() >= self.knobs.rent_per_round {
             return None;
         }
-        let (pool, room) = self.choose_pool(spec, bins, now, zone_fits)?;
+        let (pool, room) = self.choose_pool(job, bins, now, zone_fits)?;
         let zone = pool.zone.clone();
         bins.push(Bin {
             pool,
@@ -565,12 +571,12 @@
     /// The pool where a place for such a task is cheapest; among equals the zone with the fewest machines.
     fn choose_pool(
         &self,
-        spec: &JobSpec,
+        job: &Job,
         bins: &[Bin],
         now: Micros,
         zone_fits: impl Fn(&str) -> bool,
     ) -> Option<(Pool, Room)> {
-        let need = spec.need();
+        let need = job.spec.need();
         let mut best: Option<((f64, usize), Pool, Room)> = None;
         for flavor in self.flavors.values() {
             let room = flavor.room();
@@ -585,7 +591,7 @@
                         zone: zone.clone(),
                         spot,
                     };
-                    if !spec.allows(&pool.rig, zone, spot)
+                    if !job.allows(&pool.rig, zone, spot)
                         || self.fleet.paused.get(&pool).is_some_and(|t| *t > now)
                     {
                         continue;
@@ -625,6 +631,7 @@
         next_try: Micros::ZERO,
         failed_on: BTreeSet::new(),
         failures: 0,
+        lost_on_spot: false,
         claims: Vec::new(),
     }
 }
--- a/src/scheduler/fold.rs
+++ b/src/scheduler/fold.rs
@@ -121,7 +121,7 @@
                 && !m.lost
                 && m.free().holds(&need)
                 && m.has_image(&spec.image)
-                && spec.allows(&m.rig, &m.zone, m.spot)
+                && job.allows(&m.rig, &m.zone, m.spot)
                 && !job.failed_on.contains(id)
                 && zone_takes(job, &m.zone, 0, Some(left));
             fits.then_some(id)
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -252,6 +252,7 @@
             next_try: now,
             failed_on: BTreeSet::new(),
             failures: 0,
+            lost_on_spot: false,
             claims: Vec::new(),
         };
         let mut placed = Vec::new();
--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -575,6 +575,8 @@
     pub failed_on: BTreeSet<MachineId>,
     /// Failures in a row, for backing off.
     pub failures: u32,
+    /// Whether a spot machine was taken with work of it that could not be saved.
+    pub lost_on_spot: bool,
     /// Machines where tasks are being stopped for waiting ones of this job, and until when that is believed.
     pub claims: Vec<(MachineId, Micros)>,
 }
@@ -589,6 +591,12 @@
         }
     }
 
+    /// Whether its tasks may go to such a machine. What lost its work on a spot machine once does not try its luck again:
+    /// a job without checkpoints could lose it over and over and never be in time.
+    pub fn allows(&self, rig: &str, zone: &str, spot: bool) -> bool {
+        self.spec.allows(rig, zone, spot) && !(spot && self.lost_on_spot)
+    }
+
     /// The first waiting task at or after `from`.
     pub fn next_waiting(&self, from: u32) -> Option<u32> {
         let mut index = from;
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -148,10 +148,7 @@
             if with_image && !ready {
                 continue;
             }
-            while budget > 0
-                && candidate.free.holds(&need)
-                && self.accepts(id, &spec, &candidate.id)
-            {
+            while budget > 0 && candidate.free.holds(&need) && self.accepts(id, &candidate.id) {
                 let Some(index) = self.jobs.get(id).and_then(|j| j.next_waiting(next)) else {
                     return;
                 };
@@ -167,11 +164,11 @@
     }
 
     /// Whether a machine may take one more task of the job, room and team limit aside.
-    pub(super) fn accepts(&self, id: &JobId, spec: &JobSpec, machine: &MachineId) -> bool {
+    pub(super) fn accepts(&self, id: &JobId, machine: &MachineId) -> bool {
         let (Some(m), Some(job)) = (self.machines.get(machine), self.jobs.get(id)) else {
             return false;
         };
-        spec.allows(&m.rig, &m.zone, m.spot)
+        job.allows(&m.rig, &m.zone, m.spot)
             && !job.failed_on.contains(machine)
             && zone_takes(job, &m.zone, 0, None)
     }
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -104,7 +104,7 @@
                 || m.notice.is_some()
                 || m.lost
                 || !m.total.holds(&need)
-                || !self.accepts(id, spec, machine)
+                || !self.accepts(id, machine)
                 || (with_image && !m.has_image(&spec.image))
             {
                 continue;
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -977,3 +977,26 @@
     t.commit();
     assert!(!t.images.contains_key(&gone));
 }
+
+// Guards against work without checkpoints being lost on spot machines over and over.
+#[test]
+fn work_lost_with_a_spot_machine_goes_to_an_ordinary_one() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", true);
+    t.submit(JobSpec {
+        checkpoint_s: 0.0,
+        ..spec("j-1", 1)
+    });
+    t.round();
+    t.beat("m-1");
+    t.beat("m-1");
+    t.s.returned(&[MachineId("m-1".into())], t.now);
+    t.workers.remove("m-1");
+    t.worker("m-2", "a", true);
+    t.worker("m-3", "a", false);
+    t.wait(1);
+    t.round();
+    t.beat_all();
+    assert_eq!(t.workers["m-2"].running(), 0);
+    assert_eq!(t.workers["m-3"].running(), 1);
+}
