Count places of tasks that end before a boot would, deadlines and start aims excepted

Cause: on quito boots are a sixth of all machine time, for machines that then run one wave of 90 s tasks.

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -60,6 +60,8 @@
     pool: Pool,
     free: Room,
     new: bool,
+    /// Whether the room is there only once tasks that run there now have ended.
+    later: bool,
 }
 
 impl Scheduler {
@@ -492,19 +494,19 @@
                 && !m.lost
                 && now.since(m.since) < boot.scaled(16, 10);
             let mut free = m.free();
-            let mut stops = false;
+            let mut frees = false;
+            let mut later = false;
             if m.life == Life::Up && m.notice.is_none() {
                 for (task, need) in &m.held {
-                    let p = self.jobs.get(&task.job);
-                    if p.and_then(|j| j.placement(task.index))
-                        .is_some_and(|p| p.stopping.is_some())
-                    {
+                    let stopping = self.is_stopping(task);
+                    if stopping || self.ends_within(task, boot.scaled(3, 5), now) {
                         free += *need;
-                        stops = true;
+                        frees = true;
+                        later |= !stopping;
                     }
                 }
             }
-            if on_its_way || stops {
+            if on_its_way || frees {
                 bins.push(Bin {
                     pool: Pool {
                         rig: m.rig.clone(),
@@ -513,6 +515,7 @@
                     },
                     free,
                     new: false,
+                    later,
                 });
             }
         }
@@ -525,12 +528,33 @@
                     pool: want.pool.clone(),
                     free: flavor.room(),
                     new: false,
+                    later: false,
                 });
             }
         }
         bins
     }
 
+    fn is_stopping(&self, task: &TaskId) -> bool {
+        let job = self.jobs.get(&task.job);
+        let p = job.and_then(|j| j.placement(task.index));
+        p.is_some_and(|p| p.stopping.is_some())
+    }
+
+    /// Whether a task is done so soon, by its owner's estimate, that renting would not help sooner.
+    fn ends_within(&self, task: &TaskId, limit: Micros, now: Micros) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let Some(since) = job.placement(task.index).and_then(|p| p.running_since) else {
+            return false;
+        };
+        let expected = Micros::from_secs_f64(job.spec.expect_s);
+        let left = expected.since(now.since(since));
+        // An estimate that has run out says little; a quarter as long again is a fair guess.
+        job.spec.shape == Shape::Array && left.max(expected.scaled(1, 4)) <= limit
+    }
+
     /// Finds coming room for a task, or adds a machine to rent; the zone, or none where nothing can be had.
     fn plan_task(
         &self,
@@ -546,8 +570,11 @@
             let elsewhere: u32 = in_zone.values().sum::<u32>() - here;
             zone_takes(job, zone, here, None) && !(spec.together && elsewhere > 0)
         };
+        // What has a deadline or must start at once does not wait for others to end.
+        let patient = spec.due_s.is_none() && !self.knobs.wait_within.contains_key(&spec.class);
         let fit = bins.iter_mut().find(|b| {
             b.free.holds(&need)
+                && (patient || !b.later)
                 && job.allows(&b.pool.rig, &b.pool.zone, b.pool.spot)
                 && zone_fits(&b.pool.zone)
         });
@@ -564,6 +591,7 @@
             pool,
             free: room - need,
             new: true,
+            later: false,
         });
         Some(zone)
     }
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -1000,3 +1000,25 @@
     assert_eq!(t.workers["m-2"].running(), 0);
     assert_eq!(t.workers["m-3"].running(), 1);
 }
+
+// Guards against renting for a wait that a machine's boot would only make longer.
+#[test]
+fn nothing_is_rented_for_tasks_that_running_ones_soon_make_room_for_unless_there_is_a_deadline() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(spec("j-1", 2));
+    t.round();
+    t.beat("m-1");
+    t.beat("m-1");
+    t.wait(45);
+    t.beat("m-1");
+    t.submit(spec("j-2", 2));
+    t.round();
+    assert_eq!(t.s.plan_fleet(t.now, 0).rent, vec![]);
+    t.submit(JobSpec {
+        due_s: Some(90.0),
+        ..spec("j-3", 1)
+    });
+    t.round();
+    assert_eq!(t.s.plan_fleet(t.now, 0).rent.len(), 1);
+}
