--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -499,7 +499,7 @@
             if m.life == Life::Up && m.notice.is_none() {
                 for (task, need) in &m.held {
                     let stopping = self.is_stopping(task);
-                    if stopping || self.ends_within(task, boot.scaled(3, 5), now) {
+                    if stopping || self.ends_within(task, boot.scaled(1, 3), now) {
                         free += *need;
                         frees = true;
                         later |= !stopping;
