A guarantee never takes from another guarantee

Cause: on quito troubles two batch jobs within their teams' guarantees took one place from each other every five seconds from 66 to 140 s.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -135,6 +135,8 @@
     jobs: BTreeMap<JobId, Job>,
     machines: BTreeMap<MachineId, Machine>,
     team_used: BTreeMap<String, Room>,
+    /// Jobs within their team's guarantee, as of the last round.
+    guaranteed: HashSet<JobId>,
     dirty: BTreeSet<(JobId, u32)>,
     finished: BTreeSet<JobId>,
     over: BTreeSet<JobId>,
@@ -173,6 +175,7 @@
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             team_used: BTreeMap::new(),
+            guaranteed: HashSet::new(),
             dirty: BTreeSet::new(),
             finished: BTreeSet::new(),
             over: BTreeSet::new(),
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -15,8 +15,8 @@
     /// One round: offers every due job, then makes room for what must not wait.
     pub fn round(&mut self, now: Micros) {
         self.offers_made = 0;
-        let guaranteed = self.guaranteed_jobs();
-        let due = self.due_jobs(&guaranteed, now);
+        self.guaranteed = self.guaranteed_jobs();
+        let due = self.due_jobs(now);
         if due.is_empty() {
             return;
         }
@@ -29,15 +29,14 @@
             } else {
                 (0..machines.len()).collect()
             };
-            let entitled = self.knobs.guarantee_within.is_some() && guaranteed.contains(id);
             self.offer(id, &mut machines, &order, true, now);
             // A task that would wait too long for its image on a free machine rather takes the place of another on
             // a machine that has it.
             if self.fetch_is_too_slow(id) {
-                self.preempt_for(id, entitled, true, &mut coming, now);
+                self.preempt_for(id, true, &mut coming, now);
             }
             self.offer(id, &mut machines, &order, false, now);
-            self.preempt_for(id, entitled, false, &mut coming, now);
+            self.preempt_for(id, false, &mut coming, now);
             let jitter = self.rng.u64(0..=self.knobs.jitter.0);
             if let Some(job) = self.jobs.get_mut(id)
                 && job.waiting() > 0
@@ -61,7 +60,7 @@
     }
 
     /// Jobs to offer now: by priority, guarantees before borrowing, then age.
-    fn due_jobs(&self, guaranteed: &HashSet<JobId>, now: Micros) -> Vec<JobId> {
+    fn due_jobs(&self, now: Micros) -> Vec<JobId> {
         let mut due: Vec<&Job> = self
             .jobs
             .values()
@@ -70,7 +69,7 @@
         due.sort_by_key(|j| {
             (
                 std::cmp::Reverse(j.spec.priority),
-                !guaranteed.contains(&j.spec.id),
+                !self.guaranteed.contains(&j.spec.id),
                 j.at,
                 j.spec.id.clone(),
             )
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -26,7 +26,6 @@
     pub(super) fn preempt_for(
         &mut self,
         id: &JobId,
-        entitled: bool,
         with_image: bool,
         coming: &mut BTreeMap<MachineId, Room>,
         now: Micros,
@@ -34,7 +33,7 @@
         let Some(job) = self.jobs.get(id) else { return };
         let spec = job.spec.clone();
         let open = (job.waiting() as usize).saturating_sub(job.claims.len());
-        if !self.knobs.wait_within.contains_key(&spec.class) && !entitled {
+        if !self.knobs.wait_within.contains_key(&spec.class) && !self.is_entitled(id) {
             return;
         }
         let mut planned = spec.need().times(job.claims.len());
@@ -43,9 +42,7 @@
             if !self.within_limit(&spec.team, &planned) {
                 return;
             }
-            let Some((machine, victims)) =
-                self.room_for(id, &spec, entitled, with_image, coming, now)
-            else {
+            let Some((machine, victims)) = self.room_for(id, &spec, with_image, coming, now) else {
                 return;
             };
             let room = coming.entry(machine.clone()).or_default();
@@ -92,7 +89,6 @@
         &self,
         id: &JobId,
         spec: &JobSpec,
-        entitled: bool,
         with_image: bool,
         coming: &BTreeMap<MachineId, Room>,
         now: Micros,
@@ -113,7 +109,7 @@
             let mut victims: Vec<(Micros, &TaskId)> = m
                 .held
                 .keys()
-                .filter_map(|t| Some((self.loss_of(t, spec, entitled, now)?, t)))
+                .filter_map(|t| Some((self.loss_of(t, id, now)?, t)))
                 .collect();
             victims.sort();
             let mut loss = Micros::ZERO;
@@ -141,17 +137,28 @@
         best.map(|(_, machine, victims)| (machine, victims))
     }
 
+    /// Whether the job is to get its team's guarantee, and the platform has an aim for that.
+    fn is_entitled(&self, id: &JobId) -> bool {
+        self.knobs.guarantee_within.is_some() && self.guaranteed.contains(id)
+    }
+
     /// The work that stopping a task would lose, or none if it must not be stopped for this job.
-    fn loss_of(&self, task: &TaskId, by: &JobSpec, entitled: bool, now: Micros) -> Option<Micros> {
+    fn loss_of(&self, task: &TaskId, by: &JobId, now: Micros) -> Option<Micros> {
+        let by = self.jobs.get(by)?;
         let job = self.jobs.get(&task.job)?;
         let p = job.placement(task.index)?;
         if p.stopping.is_some() || job.ending {
             return None;
         }
-        let lower = job.spec.priority < by.priority;
-        let lent = entitled && job.spec.team != by.team && self.borrows(&job.spec.team);
-        // Services of the highest priority are spared even where the rules allow to stop them.
-        if !(lower || lent && job.spec.priority < Priority::Critical) {
+        let lower = job.spec.priority < by.spec.priority;
+        // A job within its own team's guarantee would be entitled to the place again, and the two would take it from
+        // each other for ever. Services of the highest priority are spared even where the rules allow to stop them.
+        let lent = self.is_entitled(&by.spec.id)
+            && job.spec.team != by.spec.team
+            && job.spec.priority < Priority::Critical
+            && self.borrows(&job.spec.team)
+            && !self.guaranteed.contains(&task.job);
+        if !(lower || lent) {
             return None;
         }
         let ran = p.running_since.map_or(Micros::ZERO, |t| now.since(t));
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -1025,3 +1025,35 @@
     t.round();
     assert_eq!(t.s.plan_fleet(t.now, 0).rent.len(), 1);
 }
+
+// Guards against two jobs within their guarantees taking one place from each other every few seconds.
+#[test]
+fn a_guarantee_is_taken_from_what_is_lent_but_not_from_another_guarantee() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.guarantee_within = Some(Micros::secs(15));
+    for name in ["one", "two"] {
+        t.s.teams
+            .insert(name.into(), TeamShare::new(0.0, 0.0, 1.0, 0.0));
+    }
+    t.worker("m-1", "a", false);
+    t.submit(JobSpec {
+        team: "one".into(),
+        ..spec("j-1", 1)
+    });
+    t.submit(JobSpec {
+        team: "one".into(),
+        ..spec("j-2", 1)
+    });
+    t.round();
+    t.beat("m-1");
+    t.submit(JobSpec {
+        team: "two".into(),
+        ..spec("j-3", 1)
+    });
+    t.round();
+    let orders = t.ask("m-1");
+    assert!(
+        matches!(&orders[..], [Order::Stop { task, .. }] if task == "j-2/0"),
+        "{orders:?}"
+    );
+}
