--- a/src/controller.rs
+++ b/src/controller.rs
@@ -181,11 +181,6 @@
         words.get(node).is_some_and(|w| now.since(w.at) < LATELY)
     }
 
-    /// Whether all other controllers answer.
-    pub fn all_answer(&self) -> bool {
-        self.peers.iter().all(|p| self.answers(&p.node))
-    }
-
     /// The zones of controllers that do not answer.
     pub fn doubtful_zones(&self) -> Vec<String> {
         let members = self.platform.members.iter();
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -467,7 +467,7 @@
         }
         let plan = {
             let mut scheduler = leading.scheduler.borrow_mut();
-            scheduler.set_steady(node.all_answer(), &node.doubtful_zones(), now);
+            scheduler.set_unanswering(&node.doubtful_zones(), now);
             scheduler.plan_fleet(now, node.clock.wall())
         };
         let give_back = give_back(node, leading, &plan.give_back);
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -253,12 +253,12 @@
         let step = self.knobs.report.scaled(5, 4) + Micros::secs(1);
         let two_moves = step + WORKER_MOVES_ON.scaled(2, 1);
         let steady = self.steady_since.is_some_and(|t| now.since(t) > two_moves);
-        // A worker whose controller is out of reach needs a while to find another one; in a zone with which the way
-        // is broken it may have to try two in vain.
+        // A worker whose controller is out of reach needs a while to find another one; where the way to
+        // its zone, or to two controllers, is broken it may have to try two in vain.
         let patience = |m: &Machine| {
             if steady {
                 step + Micros::secs(1)
-            } else if self.doubtful_zones.contains_key(&m.zone) {
+            } else if self.two_silent_at.is_some() || self.doubtful_zones.contains_key(&m.zone) {
                 two_moves + TOLD_WITHIN
             } else {
                 step + WORKER_MOVES_ON + TOLD_WITHIN
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -119,6 +119,8 @@
     }
 }
 
+/// How long the doubt that a silent controller casts outlasts its silence.
+const CUT_LINGERS: Micros = Micros::secs(10);
 /// Machines whose images go into one batch.
 const IMAGES_PER_BATCH: usize = 4;
 /// Names of machines that are gone, of which late reports and lists may still speak.
@@ -150,6 +152,7 @@
     fold: fold::Fold,
     steady_since: Option<Micros>,
     doubtful_zones: BTreeMap<String, Micros>,
+    two_silent_at: Option<Micros>,
     notes: Vec<String>,
     details: Vec<String>,
     /// Offers made in the last round, for bounding and for tests.
@@ -187,6 +190,7 @@
             fold: fold::Fold::default(),
             steady_since: None,
             doubtful_zones: BTreeMap::new(),
+            two_silent_at: None,
             notes: Vec::new(),
             details: Vec::new(),
             offers_made: 0,
@@ -198,16 +202,21 @@
         self.token
     }
 
-    /// Whether all controllers are up and within reach of this one, so that workers have no reason to look for another;
-    /// and the zones of those that are not.
-    pub fn set_steady(&mut self, steady: bool, doubtful: &[String], now: Micros) {
+    /// Tells the zones of the controllers that do not answer this one, each as often as it has such controllers. While
+    /// all answer, workers have no reason to look for another.
+    pub fn set_unanswering(&mut self, zones: &[String], now: Micros) {
+        let steady = zones.is_empty();
         self.steady_since = steady.then(|| self.steady_since.unwrap_or(now));
-        for zone in doubtful {
+        for zone in zones {
             self.doubtful_zones.insert(zone.clone(), now);
         }
-        // After a cut its workers still need a while to come back.
+        if zones.len() >= 2 {
+            self.two_silent_at = Some(now);
+        }
+        // After a cut workers still need a while to come back.
         self.doubtful_zones
-            .retain(|_, at| now.since(*at) < Micros::secs(10));
+            .retain(|_, at| now.since(*at) < CUT_LINGERS);
+        self.two_silent_at = self.two_silent_at.filter(|at| now.since(*at) < CUT_LINGERS);
     }
 
     /// What happened since the last call, in words for the log: for the people on call, and in detail.
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -840,7 +840,7 @@
 fn a_scattered_service_is_moved_and_its_machine_goes_back() {
     let mut t = Story::new(0.0);
     t.s.knobs.reserve = Some(0);
-    t.s.set_steady(true, &[], t.now);
+    t.s.set_unanswering(&[], t.now);
     t.worker("m-1", "a", false);
     let filler = t.submit(live("j-0"));
     t.submit(live("j-1"));
@@ -1057,3 +1057,36 @@
         "{orders:?}"
     );
 }
+
+// Guards against giving up live machines in a cut: a worker may try two controllers in vain, five seconds each.
+#[test]
+fn a_machine_is_given_more_time_while_controllers_do_not_answer() {
+    let quiet_until_given_up = |unanswering: &[String]| {
+        let mut t = Story::new(0.0);
+        for i in 0..8 {
+            t.worker(&format!("m-{i}"), "a", false);
+        }
+        // Long enough in office to know whether all is well.
+        for _ in 0..20 {
+            t.wait(1);
+            t.s.set_unanswering(unanswering, t.now);
+            t.beat_all();
+        }
+        for second in 1..30 {
+            t.wait(1);
+            t.s.set_unanswering(unanswering, t.now);
+            for i in 1..8 {
+                t.beat(&format!("m-{i}"));
+            }
+            if !t.s.plan_fleet(t.now, 0).give_back.is_empty() {
+                return second;
+            }
+        }
+        30
+    };
+    let zone = |z: &str| z.to_owned();
+    assert_eq!(quiet_until_given_up(&[]), 6);
+    assert_eq!(quiet_until_given_up(&[zone("b")]), 12);
+    assert_eq!(quiet_until_given_up(&[zone("a")]), 17);
+    assert_eq!(quiet_until_given_up(&[zone("b"), zone("b")]), 17);
+}
