--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -14,6 +14,8 @@
 const WORKER_MOVES_ON: Micros = Micros::secs(5);
 /// How long another controller may need to tell that it hears a machine.
 const TOLD_WITHIN: Micros = Micros::secs(2);
+/// How long a machine given up for its silence counts as silent, so that a cut is not eaten up bit by bit.
+const GIVEN_UP_COUNTS: Micros = Micros::secs(30);
 /// How far back arrivals are counted to size the reserve.
 const ARRIVALS_OVER: Micros = Micros::secs(120);
 
@@ -46,9 +48,30 @@
     pub give_back: Vec<MachineId>,
 }
 
+/// How many machines are silent, those given up lately included; ordinary and spot ones.
+#[derive(Debug, Default)]
+struct Silence {
+    all: usize,
+    quiet: [usize; 2],
+}
+
+impl Silence {
+    fn add(&mut self, spot: bool, quiet: bool) {
+        self.all += 1;
+        self.quiet[usize::from(spot)] += usize::from(quiet);
+    }
+
+    /// Whether so few of the kind are silent that each may have died by itself.
+    fn is_few(&self, spot: bool) -> bool {
+        self.quiet[usize::from(spot)] <= (self.all / 4).max(2)
+    }
+}
+
 /// What the scheduler remembers of its rentals.
 #[derive(Debug, Default)]
 pub(super) struct Fleet {
+    /// Machines given up for their silence lately: when, zone and whether spot.
+    given_up: VecDeque<(Micros, String, bool)>,
     /// Asked for, not answered.
     renting: Vec<Want>,
     /// Pools that had none, and until when they are left alone.
@@ -228,12 +251,19 @@
                 give_up.push((id.clone(), "stuck"));
             }
         }
+        self.fleet
+            .given_up
+            .retain(|(at, _, _)| now.since(*at) < GIVEN_UP_COUNTS);
         give_up.extend(self.silent(now).into_iter().map(|id| (id, "silent")));
         for (id, why) in give_up {
             let Some(m) = self.machines.get_mut(&id) else {
                 continue;
             };
             m.life = Life::Returning;
+            if why == "silent" {
+                let given_up = (now, m.zone.clone(), m.spot);
+                self.fleet.given_up.push_back(given_up);
+            }
             let tasks: Vec<String> = m.held.keys().map(TaskId::to_string).collect();
             let quiet = now.since(m.heard_at);
             self.notes.push(format!(
@@ -247,8 +277,8 @@
 
     /// Machines silent for so long that they count as dead.
     ///
-    /// Guards against taking a cut, or a controller's own trouble, for deaths: when much of a zone falls silent
-    /// together, it is given up only once the workers' leases are over; a wave of taken spot machines excepted.
+    /// Guards against taking a cut, or a controller's own trouble, for deaths: when much of a zone, or of all, falls
+    /// silent together, it is given up only once the workers' leases are over; a wave of taken spot machines excepted.
     fn silent(&self, now: Micros) -> Vec<MachineId> {
         let step = self.knobs.report.scaled(5, 4) + Micros::secs(1);
         let two_moves = step + WORKER_MOVES_ON.scaled(2, 1);
@@ -265,27 +295,28 @@
             }
         };
         let lease = self.knobs.lease + step;
-        let mut zones: BTreeMap<&str, (usize, usize, usize)> = BTreeMap::new();
         let counted = |m: &Machine| m.life == Life::Up || !m.held.is_empty();
+        let is_quiet = |m: &Machine| now.since(m.heard_at) > patience(m);
+        let mut zones: BTreeMap<&str, Silence> = BTreeMap::new();
+        let mut all = Silence::default();
         for m in self.machines.values().filter(|m| counted(m)) {
-            let (all, quiet, quiet_spot) = zones.entry(&m.zone).or_default();
-            *all += 1;
-            if now.since(m.heard_at) > patience(m) {
-                *quiet += 1;
-                *quiet_spot += usize::from(m.spot);
-            }
+            zones.entry(&m.zone).or_default().add(m.spot, is_quiet(m));
+            all.add(m.spot, is_quiet(m));
+        }
+        for (_, zone, spot) in &self.fleet.given_up {
+            zones.entry(zone).or_default().add(*spot, true);
+            all.add(*spot, true);
         }
         let mut silent = Vec::new();
         for (id, m) in &self.machines {
-            let quiet_for = now.since(m.heard_at);
-            if m.life == Life::Returning || !counted(m) || quiet_for <= patience(m) {
+            if m.life == Life::Returning || !counted(m) || !is_quiet(m) {
                 continue;
             }
-            let (all, quiet, quiet_spot) = zones[m.zone.as_str()];
-            let few = quiet <= (all / 4).max(2);
-            let wave = m.spot && quiet == quiet_spot;
+            let zone = &zones[m.zone.as_str()];
+            let few = zone.is_few(m.spot) && all.is_few(m.spot);
+            let wave = m.spot && zone.quiet[0] == 0 && all.is_few(false);
             let noticed = m.notice.is_some_and(|t| t < now);
-            if few || wave || noticed || quiet_for > lease.max(two_moves) {
+            if few || wave || noticed || now.since(m.heard_at) > lease.max(two_moves) {
                 silent.push(id.clone());
             }
         }
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -1090,3 +1090,27 @@
     assert_eq!(quiet_until_given_up(&[zone("a")]), 17);
     assert_eq!(quiet_until_given_up(&[zone("b"), zone("b")]), 17);
 }
+
+// Guards against giving up a cut zone a few machines at a time, as they fall silent one after the other.
+#[test]
+fn a_zone_that_falls_silent_bit_by_bit_is_not_eaten_up() {
+    let mut t = Story::new(0.0);
+    for i in 0..12 {
+        t.worker(&format!("m-a{i:02}"), "a", false);
+        t.worker(&format!("m-b{i:02}"), "b", false);
+    }
+    let mut given = 0;
+    for second in 0..20 {
+        t.wait(1);
+        for i in 0..12 {
+            t.beat(&format!("m-a{i:02}"));
+            if i > second {
+                t.beat(&format!("m-b{i:02}"));
+            }
+        }
+        let plan = t.s.plan_fleet(t.now, 0);
+        given += plan.give_back.len();
+        t.s.returned(&plan.give_back, t.now);
+    }
+    assert!((1..=3).contains(&given), "{given} given up");
+}
