--- a/src/leader.rs
+++ b/src/leader.rs
@@ -7,7 +7,7 @@
 use crate::scheduler::{End, Final, Flavor, JobId, MachineId, Scheduler, Want, Write};
 use crate::state::{Change, Condition, Outcome, StateError, Urgency};
 use crate::store::{
-    FLAVORS, LEADER, RENTALS, RentalRecord, Seen, chunk_key, end_key, images_key, job_key,
+    FLAVORS, LEADER, RENTALS, RentalRecord, Seen, View, chunk_key, end_key, images_key, job_key,
 };
 use crate::units::Micros;
 use async_io::Timer;
@@ -76,10 +76,8 @@
                 scheduler.inherit_rented(&record.pool(), machines, now);
             }
         }
-        for (id, job) in &view.jobs {
-            let chunks = view.runs.get(id).into_iter().flatten();
-            let chunks = chunks.map(|(n, c)| (*n, c.value.clone(), c.version));
-            scheduler.add_job(&job.value, view.ends.get(id).copied(), chunks, now);
+        for id in view.jobs.keys() {
+            add_job(&mut scheduler, &view, id, now);
         }
         for (machine, images) in &view.images {
             scheduler.inherit_images(machine, images);
@@ -196,6 +194,15 @@
     }
 }
 
+/// Gives the scheduler a job as the view has it.
+fn add_job(scheduler: &mut Scheduler, view: &View, id: &JobId, now: Micros) {
+    if let Some(job) = view.jobs.get(id) {
+        let chunks = view.runs.get(id).into_iter().flatten();
+        let chunks = chunks.map(|(n, c)| (*n, c.value.clone(), c.version));
+        scheduler.add_job(&job.value, view.ends.get(id).copied(), chunks, now);
+    }
+}
+
 /// Hands the view's news to the scheduler.
 fn take_news(node: &Node, leading: &Leading) {
     let now = node.clock.now();
@@ -203,13 +210,7 @@
     for seen in node.store.take_seen() {
         let view = node.store.view.borrow();
         match seen {
-            Seen::Job(id) => {
-                if let Some(job) = view.jobs.get(&id) {
-                    let chunks = view.runs.get(&id).into_iter().flatten();
-                    let chunks = chunks.map(|(n, c)| (*n, c.value.clone(), c.version));
-                    scheduler.add_job(&job.value, view.ends.get(&id).copied(), chunks, now);
-                }
-            }
+            Seen::Job(id) => add_job(&mut scheduler, &view, &id, now),
             Seen::End(id) => {
                 if let Some(end) = view.ends.get(&id) {
                     scheduler.end_job(&id, *end);
@@ -230,11 +231,7 @@
         match node.state.txn(Urgency::Now, &when, &changes).await {
             Ok(Outcome::Applied(revision)) => {
                 node.store.note_answer();
-                leading
-                    .scheduler
-                    .borrow_mut()
-                    .batch_applied(batch, revision);
-                log_ends(batch);
+                applied(leading, batch, revision);
                 return Ok(());
             }
             Ok(Outcome::Conflict(failed)) => {
@@ -255,7 +252,10 @@
     }
 }
 
-fn log_ends(batch: &[Write]) {
+/// A batch was applied at this revision.
+fn applied(leading: &Leading, batch: &[Write], revision: u64) {
+    let mut scheduler = leading.scheduler.borrow_mut();
+    scheduler.batch_applied(batch, revision);
     for write in batch {
         if let Write::Done { job, tasks } = write {
             info!("event=job_done job={job} tasks={tasks}");
@@ -341,11 +341,7 @@
         return Err("the leader key is another's");
     }
     if unsure && let Some(revision) = applied_before(node, batch, at).await? {
-        leading
-            .scheduler
-            .borrow_mut()
-            .batch_applied(batch, revision);
-        log_ends(batch);
+        applied(leading, batch, revision);
         return Ok(());
     }
     let over: Vec<JobId> = batch
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -602,16 +602,6 @@
             }
         }
     }
-
-    /// Whether something is waiting to be written.
-    pub fn has_writes(&self) -> bool {
-        !self.dirty.is_empty() || !self.finished.is_empty()
-    }
-
-    /// Jobs, and machines, that it has to do with; for the log.
-    pub fn sizes(&self) -> (usize, usize) {
-        (self.jobs.len(), self.machines.len())
-    }
 }
 
 /// The tasks of a job that may be on machines.
