--- a/src/http.rs
+++ b/src/http.rs
@@ -3,17 +3,23 @@
 use crate::units::Micros;
 use async_io::Timer;
 use async_net::TcpStream;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, io};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt, io};
 use http_types::headers::{CONNECTION, CONTENT_TYPE};
 use http_types::{Method, Request, Response, StatusCode, Url};
 use serde::Serialize;
 use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
 use thiserror::Error;
 
 /// The largest request body that the protocol allows.
 pub const MAX_BODY: usize = 64 * 1024;
+/// The largest head of a request with room for the encoding of its body.
+const MAX_HEAD: usize = 32 * 1024;
 /// How long a connection may take to send a request's head, or its body.
 const READ_WITHIN: Micros = Micros::secs(10);
 /// How long a connection may stand idle between requests.
@@ -123,6 +129,54 @@
     }
 }
 
+/// A connection from which at most so many bytes are read.
+///
+/// Guards against a head without an end: `async-h1` looks at a head's length only at the end of each line, and the
+/// whole of it would be kept in memory until then.
+#[derive(Clone)]
+struct Bounded {
+    stream: TcpStream,
+    left: Arc<AtomicUsize>,
+}
+
+impl AsyncRead for Bounded {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let left = self.left.load(Ordering::Relaxed);
+        if left == 0 {
+            let error = io::Error::new(io::ErrorKind::InvalidData, "request too long");
+            return Poll::Ready(Err(error));
+        }
+        let most = buf.len().min(left);
+        let result = Pin::new(&mut self.stream).poll_read(cx, &mut buf[..most]);
+        if let Poll::Ready(Ok(n)) = result {
+            self.left.fetch_sub(n, Ordering::Relaxed);
+        }
+        result
+    }
+}
+
+impl AsyncWrite for Bounded {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
+
 /// A request as the faces see it: whole, and with a bounded body.
 pub struct Call {
     /// The method.
@@ -184,7 +238,7 @@
 
 /// Serves one connection until it ends, idles too long or breaks the protocol.
 ///
-/// Guards against: bodies over the limit (refused before they are read), heads or bodies that trickle in (bounded
+/// Guards against: heads without an end ([`Bounded`]), bodies over the limit (refused before they are read), heads or bodies that trickle in (bounded
 /// time), readers that do not take their answer (bounded time).
 pub async fn serve<F, Fut>(stream: TcpStream, handle: F)
 where
@@ -197,7 +251,11 @@
         if !matches!(first, Some(Ok(true))) {
             return;
         }
-        let decoded = within(READ_WITHIN, async_h1::server::decode(stream.clone())).await;
+        let bounded = Bounded {
+            stream: stream.clone(),
+            left: Arc::new(AtomicUsize::new(MAX_HEAD + MAX_BODY)),
+        };
+        let decoded = within(READ_WITHIN, async_h1::server::decode(bounded)).await;
         let mut request = match decoded {
             Some(Ok(Some((request, _)))) => request,
             Some(Err(_)) => {
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -3,8 +3,8 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use async_net::TcpListener;
-use futures_lite::future;
+use async_net::{TcpListener, TcpStream};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use http_types::Method;
 use ravenhead::config::{Platform, Settings};
 use ravenhead::controller::{self, Node};
@@ -258,12 +258,12 @@
         let service = Box::pin(async {
             future::zip(stand_ins, controller).await;
         });
-        future::or(service, Box::pin(users_story(&keys, bind))).await;
+        future::or(service, Box::pin(users_story(&keys, bind, internal))).await;
     };
     async_io::block_on(ex.run(story));
 }
 
-async fn users_story(keys: &RefCell<Keys>, bind: SocketAddr) {
+async fn users_story(keys: &RefCell<Keys>, bind: SocketAddr, internal: SocketAddr) {
     let user = User(Client::new(bind));
     user.until(Method::Get, "/ready", "", |status, _| status == 200)
         .await;
@@ -294,6 +294,18 @@
         .await;
     assert!(refused.is_err() || refused.is_ok_and(|(status, _)| status == 413));
 
+    // A head without an end is refused after a bounded number of bytes, and a broken peer frame ends its connection.
+    let mut endless = TcpStream::connect(bind).await.unwrap();
+    let _ = endless.write_all(&vec![b'x'; 1_000_000]).await;
+    let mut answer = Vec::new();
+    let _ = endless.read_to_end(&mut answer).await;
+    assert!(answer.is_empty() || answer.starts_with(b"HTTP/1.1 400"));
+    let mut broken = TcpStream::connect(internal).await.unwrap();
+    let _ = broken.write_all(&[0, 0, 0, 3, 255, 255, 255]).await;
+    let mut answer = Vec::new();
+    let _ = broken.read_to_end(&mut answer).await;
+    assert!(answer.is_empty());
+
     // A job is accepted once, and told as it is afterwards.
     assert_eq!(user.call(Method::Post, "/work", &job("j-1")).await.0, 201);
     let (status, known) = user.call(Method::Post, "/work", &job("j-1")).await;
