--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -82,6 +82,9 @@
     /// Independent tasks, each runs to completion.
     #[serde(rename = "sweep")]
     Array,
+    /// Tasks that run to completion, and only together.
+    #[serde(rename = "gang")]
+    Gang,
     /// Replicas that run until the job is cancelled.
     #[serde(rename = "standing")]
     Service,
@@ -208,6 +211,11 @@
         Room::new(self.cores, self.cards, self.ram_gb)
     }
 
+    /// Whether its tasks run only together.
+    pub fn is_gang(&self) -> bool {
+        self.shape == Shape::Gang
+    }
+
     /// The most tasks that may be in one zone.
     pub fn zone_cap(&self) -> u32 {
         if self.spread {
@@ -613,6 +621,20 @@
         None
     }
 
+    /// The attempt that the next placement of a task of this chunk gets. The tasks of a gang find each other by it, so it
+    /// is the same for all that are placed together.
+    pub fn next_attempt(&self, chunk: u32) -> u64 {
+        if !self.spec.is_gang() {
+            return self.chunks.get(&chunk).map_or(0, |c| c.last_attempt) + 1;
+        }
+        let live = self.chunks.values().flat_map(|c| c.live.values());
+        let highest = self.chunks.values().map(|c| c.last_attempt).max();
+        match live.map(|p| p.attempt).max() {
+            Some(attempt) => attempt,
+            None => highest.unwrap_or(0) + 1,
+        }
+    }
+
     /// The placement of a task.
     pub fn placement(&self, index: u32) -> Option<&Placement> {
         self.chunks
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -29,6 +29,11 @@
             } else {
                 (0..machines.len()).collect()
             };
+            if spec_of(&self.jobs, id).is_some_and(|s| s.is_gang()) {
+                self.offer_whole(id, &mut machines, &order, now);
+                self.delay(id, now);
+                continue;
+            }
             self.offer(id, &mut machines, &order, true, now);
             // A task that would wait too long for its image on a free machine rather takes the place of another on
             // a machine that has it.
@@ -37,11 +42,58 @@
             }
             self.offer(id, &mut machines, &order, false, now);
             self.preempt_for(id, false, &mut coming, now);
-            let jitter = self.rng.u64(0..=self.knobs.jitter.0);
-            if let Some(job) = self.jobs.get_mut(id)
-                && job.waiting() > 0
-            {
-                job.next_try = now + self.knobs.retry + Micros(jitter);
+            self.delay(id, now);
+        }
+    }
+
+    /// Sets the next try of a job with waiting tasks.
+    fn delay(&mut self, id: &JobId, now: Micros) {
+        let jitter = self.rng.u64(0..=self.knobs.jitter.0);
+        if let Some(job) = self.jobs.get_mut(id)
+            && job.waiting() > 0
+        {
+            job.next_try = now + self.knobs.retry + Micros(jitter);
+        }
+    }
+
+    /// Offers a gang: all its tasks are placed or none. One that lost a member is stopped, and starts whole again.
+    fn offer_whole(
+        &mut self,
+        id: &JobId,
+        machines: &mut [Candidate],
+        order: &[usize],
+        now: Micros,
+    ) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.live > 0 {
+            for chunk in job.chunks.values_mut() {
+                for p in chunk.live.values_mut() {
+                    p.stopping.get_or_insert(StopReason::Drained);
+                }
+            }
+            return;
+        }
+        let zone_of = |i: &usize| self.machines[&machines[*i].id].zone.clone();
+        let mut parts: Vec<Vec<usize>> = vec![order.to_vec()];
+        if job.spec.together {
+            let zones: BTreeSet<String> = order.iter().map(zone_of).collect();
+            let of_zone = |zone: &String| {
+                let there = order.iter().filter(|i| zone_of(i) == *zone);
+                there.copied().collect()
+            };
+            parts = zones.iter().map(of_zone).collect();
+        }
+        for part in parts {
+            let before: Vec<Room> = machines.iter().map(|m| m.free).collect();
+            self.offer(id, machines, &part, false, now);
+            if self.jobs.get(id).is_none_or(|job| job.waiting() == 0) {
+                return;
+            }
+            self.drop_unwritten(id);
+            for (machine, free) in machines.iter_mut().zip(before) {
+                machine.free = free;
             }
         }
     }
@@ -130,7 +182,10 @@
         job.claims.retain(|(_, until)| *until > now);
         let spec = job.spec.clone();
         let need = spec.need();
-        let mut budget = TASKS_PER_JOB.min(job.waiting() as usize);
+        let mut budget = job.waiting() as usize;
+        if !spec.is_gang() {
+            budget = budget.min(TASKS_PER_JOB);
+        }
         if !with_image {
             budget = budget.saturating_sub(job.claims.len());
         }
@@ -177,8 +232,9 @@
             return;
         };
         let spec = job.spec.clone();
+        let attempt = job.next_attempt(index / CHUNK);
         let chunk = job.chunks.entry(index / CHUNK).or_default();
-        chunk.last_attempt += 1;
+        chunk.last_attempt = attempt;
         chunk.dirty = true;
         let claim = job.claims.iter().position(|(m, _)| m == machine);
         if let Some(i) = claim.or(job.claims.len().checked_sub(1)) {
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -1114,3 +1114,45 @@
     }
     assert!((1..=3).contains(&given), "{given} given up");
 }
+
+// Guards against gangs whose tasks wait for each other in vain: they find each other by their common attempt.
+#[test]
+fn a_gang_starts_whole_with_one_attempt_and_again_whole_when_it_lost_a_member() {
+    let mut t = Story::new(0.0);
+    let gang = JobSpec {
+        shape: Shape::Gang,
+        together: true,
+        ..spec("j-1", 3)
+    };
+    t.worker("m-1", "a", false);
+    t.worker("m-2", "b", false);
+    t.submit(gang);
+    t.round();
+    t.beat_all();
+    assert_eq!(t.running(), 0, "no zone has room for all three");
+    t.worker("m-3", "b", false);
+    t.wait(1);
+    t.round();
+    t.beat_all();
+    let attempts = |t: &Story| -> Vec<u64> {
+        let tasks = t.workers.values().flat_map(|w| w.tasks.iter());
+        tasks
+            .filter(|(_, s)| s.0 == TaskState::Running)
+            .map(|((_, a), _)| *a)
+            .collect()
+    };
+    let first = attempts(&t);
+    assert_eq!(first.len(), 3);
+    assert!(first.iter().all(|a| *a == first[0]));
+    assert_eq!(t.workers["m-1"].running(), 0, "together in one zone");
+    t.workers.get_mut("m-3").unwrap().exit_all(ExitCause::Other);
+    for _ in 0..4 {
+        t.beat_all();
+        t.wait(1);
+        t.round();
+    }
+    t.beat_all();
+    let second = attempts(&t);
+    assert_eq!(second.len(), 3);
+    assert!(second.iter().all(|a| *a == second[0] && *a > first[0]));
+}
--- a/src/users.rs
+++ b/src/users.rs
@@ -2,7 +2,7 @@
 
 use crate::controller::Node;
 use crate::http::{Call, Reply};
-use crate::scheduler::{End, Final, Flavor, JobId, JobRecord, JobSpec, TeamShare};
+use crate::scheduler::{End, Final, Flavor, JobId, JobRecord, JobSpec, Shape, TeamShare};
 use crate::state::{Change, Condition, Outcome, StateError, Urgency};
 use crate::store::{end_key, job_key};
 use crate::units::{Micros, Room};
@@ -107,8 +107,8 @@
         return Err("a task fits no allowed machine type");
     }
     let at_once = match spec.shape {
-        crate::scheduler::Shape::Array => 1,
-        crate::scheduler::Shape::Service => spec.tasks as usize,
+        Shape::Array => 1,
+        Shape::Gang | Shape::Service => spec.tasks as usize,
     };
     let all: Room = need.times(at_once);
     if !team.allows(&all) {
