--- a/src/controller.rs
+++ b/src/controller.rs
@@ -145,12 +145,8 @@
 
     /// Takes in what another controller knows.
     pub fn learn(&self, known: &Knowledge) {
-        self.learn_token(known.token);
-    }
-
-    /// A token was seen that somebody holds or held.
-    pub fn learn_token(&self, token: u64) {
-        self.token_seen.set(self.token_seen.get().max(token));
+        let token = self.token_seen.get().max(known.token);
+        self.token_seen.set(token);
     }
 
     fn note_word(&self, peer: &str, known: Knowledge) {
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -67,8 +67,8 @@
 
 /// The leader's own answer to a report.
 pub async fn lead(node: &Node, leading: &Leading, report: &Report) -> Option<Answer> {
+    // Somebody else leads, or the worker is mad: it is sent elsewhere, and who leads is asked of the controllers.
     if report.token > leading.token() {
-        node.learn_token(report.token);
         return None;
     }
     let now = node.clock.now();
--- /dev/null
+++ b/tests/whole_path.rs
@@ -0,0 +1,371 @@
+//! One controller from socket to socket, against stand-ins for the state service, the cloud and a worker that this
+//! file writes itself; loopback only, and nothing depends on how long anything takes.
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_net::TcpListener;
+use futures_lite::future;
+use http_types::Method;
+use ravenhead::config::{Platform, Settings};
+use ravenhead::controller::{self, Node};
+use ravenhead::http::{Call, Client, Reply, serve};
+use ravenhead::units::Micros;
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A small key-value store by the published protocol.
+#[derive(Default)]
+struct Keys {
+    epoch: u64,
+    keys: BTreeMap<String, (Value, u64)>,
+    news: Vec<(u64, Value)>,
+    down: bool,
+}
+
+impl Keys {
+    fn txn(&mut self, body: &Value) -> Reply {
+        let stamp = |keys: &Keys, k: &str| keys.keys.get(k).map_or(0, |(_, s)| *s);
+        let when = body["when"].as_array().cloned().unwrap_or_default();
+        let failed: Vec<&str> = when
+            .iter()
+            .filter(|c| stamp(self, c["k"].as_str().unwrap()) != c["stamp"].as_u64().unwrap())
+            .map(|c| c["k"].as_str().unwrap())
+            .collect();
+        if !failed.is_empty() {
+            return Reply::json(409, &json!({"failed": failed, "epoch": self.epoch}));
+        }
+        self.epoch += 1;
+        for write in body["writes"].as_array().unwrap() {
+            let mut event = write.clone();
+            event["stamp"] = json!(self.epoch);
+            if let Some(key) = write["write"].as_str() {
+                let value = (write["data"].clone(), self.epoch);
+                self.keys.insert(key.to_owned(), value);
+            } else if let Some(key) = write["delete"].as_str() {
+                self.keys.remove(key);
+            }
+            self.news.push((self.epoch, event));
+        }
+        Reply::json(200, &json!({"epoch": self.epoch}))
+    }
+
+    fn list(&self) -> Reply {
+        let items: Vec<Value> = self
+            .keys
+            .iter()
+            .map(|(k, (data, stamp))| json!({"k": k, "data": data, "stamp": stamp}))
+            .collect();
+        Reply::json(
+            200,
+            &json!({"items": items, "more": false, "epoch": self.epoch}),
+        )
+    }
+
+    fn get(&self, key: &str) -> Reply {
+        match self.keys.get(key) {
+            Some((data, stamp)) => {
+                Reply::json(200, &json!({"k": key, "data": data, "stamp": stamp}))
+            }
+            None => Reply::json(404, &json!({"epoch": self.epoch})),
+        }
+    }
+}
+
+/// The stand-in answers a watch at once with all that it has: what was seen already is harmless.
+fn state(keys: &RefCell<Keys>, call: &Call) -> Reply {
+    let mut keys = keys.borrow_mut();
+    if keys.down {
+        return Reply::error(503, "trouble");
+    }
+    match (call.method, call.path.as_str()) {
+        (Method::Post, "/txn") => keys.txn(&serde_json::from_slice(&call.body).unwrap()),
+        (Method::Post, "/holds") => Reply::json(200, &json!({"tenure": 1})),
+        (Method::Post, _) => Reply::json(200, &json!({})),
+        (Method::Get, "/keys") => keys.list(),
+        (Method::Get, "/watch") => {
+            let news: Vec<&Value> = keys.news.iter().map(|(_, n)| n).collect();
+            Reply::json(200, &json!({"epoch": keys.epoch, "news": news}))
+        }
+        (Method::Get, path) => keys.get(path.trim_start_matches("/keys/")),
+        _ => Reply::error(400, "odd"),
+    }
+}
+
+fn cloud(call: &Call) -> Reply {
+    match (call.method, call.path.as_str()) {
+        (Method::Get, "/flavors") => Reply::json(
+            200,
+            &json!({"rigs": [{"label": "g8", "cores": 16.0, "cards": 2.0, "ramGb": 128.0, "localGb": 100.0,
+                "fetchGbPerS": 1.0, "rate": 6.0, "lowPrice": 2.0, "bootS": 40.0, "yards": ["a"]}]}),
+        ),
+        (Method::Get, _) => Reply::json(200, &json!({"hosts": [], "more": false})),
+        _ => Reply::error(503, "no capacity"),
+    }
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    (listener, addr)
+}
+
+async fn stand_in(
+    ex: &LocalExecutor<'_>,
+    listener: TcpListener,
+    answer: Rc<dyn Fn(&Call) -> Reply>,
+) {
+    loop {
+        let (stream, _) = listener.accept().await.unwrap();
+        let answer = answer.clone();
+        ex.spawn(async move {
+            serve(stream, |call| {
+                let reply = answer(&call);
+                async move { reply }
+            })
+            .await
+        })
+        .detach();
+    }
+}
+
+struct User(Client);
+
+impl User {
+    async fn call(&self, method: Method, path: &str, body: &str) -> (u16, Value) {
+        let body = (method == Method::Post).then(|| body.as_bytes().to_vec());
+        let (status, bytes) = self
+            .0
+            .call(method, path, body, Micros::secs(20))
+            .await
+            .unwrap();
+        (
+            status,
+            serde_json::from_slice(&bytes).unwrap_or(Value::Null),
+        )
+    }
+
+    /// Asks until the answer is this one; the test's own time limit ends a wait that never would.
+    async fn until(
+        &self,
+        method: Method,
+        path: &str,
+        body: &str,
+        good: impl Fn(u16, &Value) -> bool,
+    ) -> Value {
+        loop {
+            if let Ok((status, bytes)) = self
+                .0
+                .call(
+                    method,
+                    path,
+                    (method == Method::Post).then(|| body.as_bytes().to_vec()),
+                    Micros::secs(20),
+                )
+                .await
+            {
+                let value = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
+                if good(status, &value) {
+                    return value;
+                }
+            }
+            Timer::after(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+fn job(id: &str) -> String {
+    json!({"nameId": id, "lane": "x", "crew": "t", "shape": "sweep", "rank": "low", "takes": 1, "cores": 1.0,
+        "cards": 1.0, "ramGb": 1.0, "reel": "i", "pullGb": 1.0, "together": false, "spread": false,
+        "loaners": false, "expectS": 1.0, "markS": 0.0, "stowS": 0.0})
+    .to_string()
+}
+
+fn report(seq: u64, token: u64, tasks: &Value) -> String {
+    json!({"host": "m-1", "endpoint": "e", "rig": "g8", "yard": "a", "loaners": false, "watch": 1, "tally": seq,
+        "warrant": token, "warningS": null, "takes": tasks})
+    .to_string()
+}
+
+fn platform(
+    bind: SocketAddr,
+    internal: SocketAddr,
+    state: SocketAddr,
+    cloud: SocketAddr,
+) -> Platform {
+    let text = format!(
+        r#"
+        node = "n-0"
+        zone = "a"
+        bind = "{bind}"
+        internal_addr = "{internal}"
+        [external]
+        cloud = "{cloud}"
+        state = "{state}"
+        [facts]
+        size = 1
+        [[facts.teams]]
+        name = "t"
+        gpus_max = 4.0
+        [facts.workers]
+        report_s = 1.0
+        lease_s = 10.0
+        cancel_s = 20.0
+        [facts.state]
+        rps = 100000.0
+        write_rps = 100000.0
+        value_kb = 8.0
+        txn_ops = 32
+        [facts.cloud]
+        rps = 100.0
+        list_lag_s = 6.0
+        [facts.machine_limits]
+        core_share = 0.5
+        ram_mb = 200.0
+        max_sockets = 3500
+        "#
+    );
+    Platform::parse(&text).unwrap()
+}
+
+/// Two addresses that were free a moment ago.
+async fn free_addrs() -> (SocketAddr, SocketAddr) {
+    let (a, b) = (listen().await, listen().await);
+    (a.1, b.1)
+}
+
+#[test]
+fn from_submission_to_done_and_what_is_refused() {
+    let ex = LocalExecutor::new();
+    let keys: Rc<RefCell<Keys>> = Rc::default();
+    let story = async {
+        let (state_listener, state_addr) = listen().await;
+        let (cloud_listener, cloud_addr) = listen().await;
+        let (bind, internal) = free_addrs().await;
+        let k = keys.clone();
+        let state_in = stand_in(&ex, state_listener, Rc::new(move |call| state(&k, call)));
+        let cloud_in = stand_in(&ex, cloud_listener, Rc::new(cloud));
+        let node = Rc::new(Node::new(
+            platform(bind, internal, state_addr, cloud_addr),
+            Settings::default(),
+        ));
+        // Boxed, as the unoptimised futures together are too large for a test's stack.
+        let stand_ins = Box::pin(future::zip(state_in, cloud_in));
+        let controller = Box::pin(async { controller::run(&ex, node).await.unwrap() });
+        let service = Box::pin(async {
+            future::zip(stand_ins, controller).await;
+        });
+        future::or(service, Box::pin(users_story(&keys, bind))).await;
+    };
+    async_io::block_on(ex.run(story));
+}
+
+async fn users_story(keys: &RefCell<Keys>, bind: SocketAddr) {
+    let user = User(Client::new(bind));
+    user.until(Method::Get, "/ready", "", |status, _| status == 200)
+        .await;
+
+    // What is malformed, impossible, unknown or too large.
+    assert_eq!(user.call(Method::Post, "/work", "[]").await.0, 400);
+    assert_eq!(user.call(Method::Post, "/work", &job("x-1")).await.0, 400);
+    let stranger = job("j-9").replace("\"crew\":\"t\"", "\"crew\":\"s\"");
+    assert_eq!(user.call(Method::Post, "/work", &stranger).await.0, 422);
+    let huge = job("j-9").replace("\"cards\":1.0", "\"cards\":3.0");
+    assert_eq!(user.call(Method::Post, "/work", &huge).await.0, 422);
+    assert_eq!(user.call(Method::Get, "/work/j-404", "").await.0, 404);
+    assert_eq!(
+        user.call(Method::Post, "/work/j-404/withdraw", "").await.0,
+        404
+    );
+    assert_eq!(user.call(Method::Get, "/nowhere", "").await.0, 404);
+    assert_eq!(user.call(Method::Get, "/checkin", "").await.0, 405);
+    let long = "x".repeat(70_000);
+    let refused = user
+        .0
+        .call(
+            Method::Post,
+            "/work",
+            Some(long.into_bytes()),
+            Micros::secs(20),
+        )
+        .await;
+    assert!(refused.is_err() || refused.is_ok_and(|(status, _)| status == 413));
+
+    // A job is accepted once, and told as it is afterwards.
+    assert_eq!(user.call(Method::Post, "/work", &job("j-1")).await.0, 201);
+    let (status, known) = user.call(Method::Post, "/work", &job("j-1")).await;
+    assert_eq!((status, &known["status"]), (200, &json!("pending")));
+
+    // A worker comes, is told to run the task, and reports it done.
+    let ordered = |verb: &'static str| {
+        move |status: u16, v: &Value| {
+            status == 200
+                && v["orders"]
+                    .as_array()
+                    .is_some_and(|o| o.iter().any(|o| o["verb"] == verb))
+        }
+    };
+    let mut seq = 0;
+    let mut token = 0;
+    let answer = loop {
+        seq += 1;
+        let (status, answer) = user
+            .call(Method::Post, "/checkin", &report(seq, token, &json!([])))
+            .await;
+        token = answer["warrant"].as_u64().unwrap_or(token);
+        if ordered("run")(status, &answer) {
+            break answer;
+        }
+    };
+    let order = &answer["orders"][0];
+    assert_eq!(order["take"], "j-1/0");
+    let exited =
+        json!([{"take": "j-1/0", "try": order["try"], "status": "exited", "cause": "done"}]);
+    loop {
+        seq += 1;
+        let (status, answer) = user
+            .call(Method::Post, "/checkin", &report(seq, token, &exited))
+            .await;
+        if ordered("clear")(status, &answer) {
+            break;
+        }
+    }
+    let done = |status: u16, v: &Value| status == 200 && v["status"] == "done";
+    user.until(Method::Get, "/work/j-1", "", done).await;
+    let (status, late) = user.call(Method::Post, "/work/j-1/withdraw", "").await;
+    assert_eq!(
+        (status, &late["status"]),
+        (200, &json!("done")),
+        "done stays done"
+    );
+
+    // A report with a token that this controller does not know must not be answered with a lower one.
+    seq += 1;
+    let (status, _) = user
+        .call(
+            Method::Post,
+            "/checkin",
+            &report(seq, token + 50, &json!([])),
+        )
+        .await;
+    assert_eq!(status, 503);
+
+    // Cancelled stays cancelled.
+    assert_eq!(user.call(Method::Post, "/work", &job("j-2")).await.0, 201);
+    let (status, gone) = user.call(Method::Post, "/work/j-2/withdraw", "").await;
+    assert_eq!((status, &gone["status"]), (200, &json!("aborted")));
+    let (status, again) = user.call(Method::Post, "/work", &job("j-2")).await;
+    assert_eq!((status, &again["status"]), (200, &json!("aborted")));
+
+    // In an outage what is final is still told, and everything else refused.
+    keys.borrow_mut().down = true;
+    assert_eq!(user.call(Method::Post, "/work", &job("j-3")).await.0, 503);
+    assert_eq!(user.call(Method::Get, "/work/j-3", "").await.0, 503);
+    assert_eq!(
+        user.call(Method::Get, "/work/j-1", "").await.1["status"],
+        "done"
+    );
+}
