Machines that hear no answer, late copies, and workers of a controller that lost the rest

Cause: a machine whose reports arrive while answers do not was never silent, so id order sent it the same tasks again and again; a late copy brought a returned machine back under a new leader; and the workers of a controller without state service and peers were given up while it kept them alive. Now a report must show an effect of the answers before it (token, orders, or that the worker stayed with its controller); a machine takes offers only once it showed this leader's token; silence of a controller is told from silence of its workers; such a controller hands its workers on within their lease; a follower keeps no list of what it saw. Stories tell each.

--- a/src/config.rs
+++ b/src/config.rs
@@ -366,6 +366,7 @@
             reserve: self.reserve,
             offers_per_round: self.offers_per_round.unwrap_or(offers.max(1_000)),
             rent_per_round: self.rent_per_round.unwrap_or(24),
+            controllers: facts.size,
             report: platform.report(),
             lease: Micros::from_secs_f64(facts.workers.lease_s),
             cancel: Micros::from_secs_f64(facts.workers.cancel_s),
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -6,7 +6,7 @@
 use crate::http::{self, Call, Reply};
 use crate::leader::{self, Leading};
 use crate::peer::{self, Frame, Knowledge, Peer, Request};
-use crate::scheduler::{MachineId, TeamShare};
+use crate::scheduler::{Controller, MachineId, TeamShare};
 use crate::state::{Change, State, Urgency};
 use crate::store::{Clock, Store, heard_key};
 use crate::units::Micros;
@@ -35,6 +35,9 @@
 /// After a failed ping reports are not passed on to a controller for so long.
 const AVOID_FOR: Micros = Micros::secs(2);
 
+/// How long a worker takes for a controller that does not answer: four seconds, and one until it tries the next.
+const WORKER_TRY: Micros = Micros::secs(5);
+
 /// What another controller said last.
 #[derive(Debug, Clone, Default)]
 struct Word {
@@ -42,6 +45,13 @@
     at: Micros,
 }
 
+/// When a machine was last sent to another controller, and how often that was.
+#[derive(Debug, Clone, Copy)]
+struct Handed {
+    at: Micros,
+    times: usize,
+}
+
 /// A controller.
 pub struct Node {
     /// The platform's settings.
@@ -69,6 +79,7 @@
     token_seen: Cell<u64>,
     avoided: RefCell<BTreeMap<String, Micros>>,
     heard: RefCell<BTreeMap<MachineId, Micros>>,
+    handed: RefCell<BTreeMap<MachineId, Handed>>,
     heard_new: Event,
     connections: Cell<usize>,
 }
@@ -104,6 +115,7 @@
             token_seen: Cell::new(0),
             avoided: RefCell::default(),
             heard: RefCell::default(),
+            handed: RefCell::default(),
             heard_new: Event::new(),
             connections: Cell::new(0),
             platform,
@@ -174,6 +186,74 @@
         self.heard_new.notify(usize::MAX);
     }
 
+    /// Where to send a worker whose report can't be passed on, if it may be sent away.
+    ///
+    /// Its lease must outlast a try of a controller that turns out to be silent for it too, after which it comes back
+    /// here: so it was answered here just now, it is sent only as many places before this one in the order of names as
+    /// its lease allows, and after that it is left in peace for a while.
+    pub fn hand_off(&self, machine: &MachineId, zone: &str) -> Option<String> {
+        let now = self.clock.now();
+        let answered = self.heard.borrow().get(machine).copied()?;
+        if now.since(answered) > self.platform.report().scaled(3, 2) {
+            return None;
+        }
+        let lease = Micros::from_secs_f64(self.platform.facts.workers.lease_s);
+        let mut handed = self.handed.borrow_mut();
+        handed.retain(|_, h| now.since(h.at) < lease.scaled(10, 1));
+        let before = handed.get(machine).copied();
+        if before.is_some_and(|h| now.since(h.at) < lease.scaled(2, 1)) {
+            return None;
+        }
+        let times = before.map_or(0, |h| h.times);
+        let to = if self.is_alone() {
+            self.place_before(times, lease)?
+        } else {
+            self.leader_beyond_filter(zone)?
+        };
+        let now_handed = Handed {
+            at: now,
+            times: times + 1,
+        };
+        handed.insert(machine.clone(), now_handed);
+        Some(to)
+    }
+
+    /// A controller so few places before this one that a worker tries all between and is back within its lease.
+    fn place_before(&self, times: usize, lease: Micros) -> Option<String> {
+        let spent = self.platform.report().scaled(5, 4) + Micros::secs(2);
+        let tries = (lease.since(spent).0 / WORKER_TRY.0) as usize;
+        let mut names: Vec<&str> = self
+            .platform
+            .members
+            .iter()
+            .map(|m| m.node.as_str())
+            .collect();
+        names.push(&self.platform.node);
+        names.sort_unstable();
+        let own = names.iter().position(|n| *n == self.platform.node)?;
+        let most = tries.min(names.len() - 1);
+        if most == 0 {
+            return None;
+        }
+        let back = 1 + times % most;
+        Some(names[(own + names.len() - back) % names.len()].to_owned())
+    }
+
+    /// The leader, if it is known to lead, and it is a filter between the controllers and no cut of zones that keeps
+    /// reports from it: a worker of its zone reaches it, and where not even controllers of one zone reach each other,
+    /// any does.
+    fn leader_beyond_filter(&self, zone: &str) -> Option<String> {
+        if !self.store.reachable() {
+            return None;
+        }
+        let leader = self.store.view.borrow().leader.as_ref()?.value.node.clone();
+        let members = &self.platform.members;
+        let home = members.iter().find(|m| m.node == leader)?;
+        let mut neighbours = members.iter().filter(|m| m.zone == self.platform.zone);
+        let filtered = neighbours.any(|m| !self.answers(&m.node));
+        (home.zone == zone || filtered).then_some(leader)
+    }
+
     /// Whether another controller answered lately. One that lacks only the state service passes reports on as ever.
     fn answers(&self, node: &str) -> bool {
         let now = self.clock.now();
@@ -181,11 +261,26 @@
         words.get(node).is_some_and(|w| now.since(w.at) < LATELY)
     }
 
-    /// The zones of controllers that do not answer.
-    pub fn doubtful_zones(&self) -> Vec<String> {
+    /// The controllers, and which of them answer.
+    pub fn controllers(&self) -> Vec<Controller> {
         let members = self.platform.members.iter();
-        let silent = members.filter(|m| !self.answers(&m.node));
-        silent.map(|m| m.zone.clone()).collect()
+        let seen = members.map(|m| Controller {
+            node: m.node.clone(),
+            zone: m.zone.clone(),
+            answers: self.answers(&m.node),
+        });
+        let own = Controller {
+            node: self.platform.node.clone(),
+            zone: self.platform.zone.clone(),
+            answers: true,
+        };
+        seen.chain([own]).collect()
+    }
+
+    /// Whether this controller reaches neither the state service nor any other controller.
+    pub fn is_alone(&self) -> bool {
+        let answered = self.platform.members.iter().any(|m| self.answers(&m.node));
+        !self.store.reachable() && !answered
     }
 
     /// Whether this controller can take requests.
@@ -300,7 +395,9 @@
     node.learn(&frame.known);
     let message = match frame.message {
         Request::Ping => peer::Reply::Pong,
-        Request::Report { relay, report } => workers::passed_on(&node, report, relay).await,
+        Request::Report { relay, via, report } => {
+            workers::passed_on(&node, report, &via, relay).await
+        }
     };
     Frame {
         known: node.known(),
@@ -312,10 +409,12 @@
 async fn lead_by_turns(node: &Rc<Node>) {
     loop {
         let leadership = election::win(node).await;
+        node.store.keep_seen(true);
         let leading = Rc::new(Leading::new(node, leadership));
         *node.leading.borrow_mut() = Some(leading.clone());
         let why = leader::lead(node, &leading).await;
         *node.leading.borrow_mut() = None;
+        node.store.keep_seen(false);
         info!(
             "event=stepped_down token={} reason={why:?}",
             leading.token()
@@ -371,13 +470,17 @@
         if machines.is_empty() || !led || node.leading().is_some() {
             continue;
         }
-        let put = Change::Put {
-            key: heard_key(&node.platform.node),
-            value: serde_json::json!(machines),
-            lease: None,
-        };
-        if let Err(e) = node.state.txn(Urgency::Paced, &[], &[put]).await {
-            debug!("event=heard_not_told error={:?}", e.to_string());
+        // A name takes some ten bytes; a value holds so many of them.
+        let most = (node.platform.facts.state.value_kb * 1024.0 / 32.0) as usize;
+        for (part, some) in machines.chunks(most.max(1)).enumerate() {
+            let put = Change::Put {
+                key: heard_key(&node.platform.node, part),
+                value: serde_json::json!(some),
+                lease: None,
+            };
+            if let Err(e) = node.state.txn(Urgency::Paced, &[], &[put]).await {
+                debug!("event=heard_not_told error={:?}", e.to_string());
+            }
         }
         Timer::after(every.scaled(1, 3).into()).await;
     }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -216,7 +216,7 @@
                     scheduler.end_job(&id, *end);
                 }
             }
-            Seen::Heard(machines) => scheduler.on_heard(&machines, now),
+            Seen::Heard(node, machines) => scheduler.on_heard(&node, &machines, now),
             Seen::Flavors => {}
         }
     }
@@ -463,7 +463,7 @@
         }
         let plan = {
             let mut scheduler = leading.scheduler.borrow_mut();
-            scheduler.set_unanswering(&node.doubtful_zones(), now);
+            scheduler.set_controllers(&node.controllers(), now);
             scheduler.plan_fleet(now, node.clock.wall())
         };
         let give_back = give_back(node, leading, &plan.give_back);
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -39,6 +39,8 @@
     Report {
         /// Whether it may be passed on once more.
         relay: bool,
+        /// The controller that the worker reported to.
+        via: String,
         /// The report.
         report: Report,
     },
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -16,6 +16,8 @@
 const TOLD_WITHIN: Micros = Micros::secs(2);
 /// How long a machine given up for its silence counts as silent, so that a cut is not eaten up bit by bit.
 const GIVEN_UP_COUNTS: Micros = Micros::secs(30);
+/// How long a machine behind a cut is waited for; the machine list tells sooner if it died.
+const CUT_LASTS: Micros = Micros::secs(180);
 /// How far back arrivals are counted to size the reserve.
 const ARRIVALS_OVER: Micros = Micros::secs(120);
 
@@ -165,6 +167,11 @@
                 .insert(want.pool.clone(), now + POOL_PAUSE);
         }
         self.inherit_rented(&want.pool, machines, now);
+        for id in machines {
+            if let Some(m) = self.machines.get_mut(id) {
+                m.rented_now = true;
+            }
+        }
     }
 
     /// The cloud confirmed that these machines are gone, with everything on them.
@@ -255,12 +262,15 @@
             .given_up
             .retain(|(at, _, _)| now.since(*at) < GIVEN_UP_COUNTS);
         give_up.extend(self.silent(now).into_iter().map(|id| (id, "silent")));
-        for (id, why) in give_up {
+        for (id, mut why) in give_up {
             let Some(m) = self.machines.get_mut(&id) else {
                 continue;
             };
             m.life = Life::Returning;
             if why == "silent" {
+                if m.is_deaf() {
+                    why = "deaf";
+                }
                 let given_up = (now, m.zone.clone(), m.spot);
                 self.fleet.given_up.push_back(given_up);
             }
@@ -288,7 +298,10 @@
         let patience = |m: &Machine| {
             if steady {
                 step + Micros::secs(1)
-            } else if self.two_silent_at.is_some() || self.doubtful_zones.contains_key(&m.zone) {
+            } else if self.two_silent_at.is_some()
+                || self.doubtful_zones.contains_key(&m.zone)
+                || self.silent_nodes.contains_key(&m.via)
+            {
                 two_moves + TOLD_WITHIN
             } else {
                 step + WORKER_MOVES_ON + TOLD_WITHIN
@@ -312,6 +325,9 @@
             if m.life == Life::Returning || !counted(m) || !is_quiet(m) {
                 continue;
             }
+            if self.is_cut_off(m, now) && now.since(m.heard_at) < CUT_LASTS {
+                continue;
+            }
             let zone = &zones[m.zone.as_str()];
             let few = zone.is_few(m.spot) && all.is_few(m.spot);
             let wave = m.spot && zone.quiet[0] == 0 && all.is_few(false);
@@ -323,6 +339,22 @@
         silent
     }
 
+    /// Whether a machine is silent because the controller that it reports to is: that one keeps its lease alive, and
+    /// the machine list tells if it dies all the same.
+    ///
+    /// Guards against giving up what runs well behind a cut, or with a controller that lost everything but its workers.
+    fn is_cut_off(&self, m: &Machine, now: Micros) -> bool {
+        let tells = |node: &str| {
+            let told = self.told.get(node);
+            told.is_some_and(|at| now.since(*at) < self.knobs.report.scaled(2, 1) + TOLD_WITHIN)
+        };
+        let silent_now = |node: &str| {
+            let silent = self.silent_nodes.get(node);
+            silent.is_some_and(|at| now.since(*at) < TOLD_WITHIN)
+        };
+        (silent_now(&m.via) && !tells(&m.via)) || self.closed_zones.contains(&m.zone)
+    }
+
     /// A machine that could not be told of a cancellation in good time goes back with the cancelled task.
     fn give_up_for_cancels(&mut self, wall: u64) {
         let patience = self.knobs.cancel.scaled(3, 5).0;
@@ -422,7 +454,7 @@
     fn free_places(&self, spec: &JobSpec) -> usize {
         self.machines
             .values()
-            .filter(|m| m.life == Life::Up && m.notice.is_none())
+            .filter(|m| m.takes_offers())
             .map(|m| self.places_on(m, spec))
             .sum()
     }
@@ -520,14 +552,18 @@
                 .flavors
                 .get(&m.rig)
                 .map_or(Micros::secs(60), Flavor::boot);
+            // One that reported, but not yet to have heard this leader, does so with its next report or is not there.
+            let reports_soon =
+                m.newest.is_none() || now.since(m.heard_at) < self.knobs.report.scaled(2, 1);
             let on_its_way = m.life == Life::Booting
+                && reports_soon
                 && m.total != Room::default()
                 && !m.lost
                 && now.since(m.since) < boot.scaled(16, 10);
             let mut free = m.free();
             let mut frees = false;
             let mut later = false;
-            if m.life == Life::Up && m.notice.is_none() {
+            if m.takes_offers() {
                 for (task, need) in &m.held {
                     let stopping = self.is_stopping(task);
                     if stopping || self.ends_within(task, boot.scaled(1, 3), now) {
--- a/src/scheduler/fold.rs
+++ b/src/scheduler/fold.rs
@@ -96,7 +96,7 @@
         let elsewhere: usize = self
             .machines
             .iter()
-            .filter(|(other, o)| *other != id && o.life == Life::Up && o.notice.is_none())
+            .filter(|(other, o)| *other != id && o.takes_offers())
             .filter(|(_, o)| spec.allows(&o.rig, &o.zone, o.spot))
             .map(|(_, o)| o.free().count_of(&spec.need()).min(1_000))
             .sum();
@@ -116,9 +116,7 @@
         let left = self.machines.get(from)?.zone.as_str();
         self.machines.iter().find_map(|(id, m)| {
             let fits = id != from
-                && m.life == Life::Up
-                && m.notice.is_none()
-                && !m.lost
+                && m.takes_offers()
                 && m.free().holds(&need)
                 && m.has_image(&spec.image)
                 && job.allows(&m.rig, &m.zone, m.spot)
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -35,6 +35,8 @@
     pub offers_per_round: usize,
     /// Most machines rented in one round.
     pub rent_per_round: usize,
+    /// Number of controllers.
+    pub controllers: usize,
     /// Interval of reports.
     pub report: Micros,
     /// How long workers live without an answer.
@@ -119,6 +121,17 @@
     }
 }
 
+/// Another controller, as the leader sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Controller {
+    /// Its name.
+    pub node: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it answered lately.
+    pub answers: bool,
+}
+
 /// How long the doubt that a silent controller casts outlasts its silence.
 const CUT_LINGERS: Micros = Micros::secs(10);
 /// Machines whose images go into one batch.
@@ -153,6 +166,12 @@
     steady_since: Option<Micros>,
     doubtful_zones: BTreeMap<String, Micros>,
     two_silent_at: Option<Micros>,
+    /// Controllers that do not answer now or did not lately, and when that was last so.
+    silent_nodes: BTreeMap<String, Micros>,
+    /// Zones of which no controller answers now.
+    closed_zones: BTreeSet<String>,
+    /// When each controller last told by the state service which machines it hears.
+    told: BTreeMap<String, Micros>,
     notes: Vec<String>,
     details: Vec<String>,
     /// Offers made in the last round, for bounding and for tests.
@@ -191,6 +210,9 @@
             steady_since: None,
             doubtful_zones: BTreeMap::new(),
             two_silent_at: None,
+            silent_nodes: BTreeMap::new(),
+            closed_zones: BTreeSet::new(),
+            told: BTreeMap::new(),
             notes: Vec::new(),
             details: Vec::new(),
             offers_made: 0,
@@ -202,20 +224,28 @@
         self.token
     }
 
-    /// Tells the zones of the controllers that do not answer this one, each as often as it has such controllers. While
-    /// all answer, workers have no reason to look for another.
-    pub fn set_unanswering(&mut self, zones: &[String], now: Micros) {
-        let steady = zones.is_empty();
+    /// Tells which of the other controllers answer this one now. While all answer, workers have no reason to look for
+    /// another.
+    pub fn set_controllers(&mut self, controllers: &[Controller], now: Micros) {
+        let silent: Vec<&Controller> = controllers.iter().filter(|c| !c.answers).collect();
+        let steady = silent.is_empty();
         self.steady_since = steady.then(|| self.steady_since.unwrap_or(now));
-        for zone in zones {
-            self.doubtful_zones.insert(zone.clone(), now);
+        self.closed_zones = silent.iter().map(|c| c.zone.clone()).collect();
+        for other in controllers.iter().filter(|c| c.answers) {
+            self.closed_zones.remove(&other.zone);
         }
-        if zones.len() >= 2 {
+        for c in &silent {
+            self.doubtful_zones.insert(c.zone.clone(), now);
+            self.silent_nodes.insert(c.node.clone(), now);
+        }
+        if silent.len() >= 2 {
             self.two_silent_at = Some(now);
         }
         // After a cut workers still need a while to come back.
         self.doubtful_zones
             .retain(|_, at| now.since(*at) < CUT_LINGERS);
+        self.silent_nodes
+            .retain(|_, at| now.since(*at) < CUT_LINGERS);
         self.two_silent_at = self.two_silent_at.filter(|at| now.since(*at) < CUT_LINGERS);
     }
 
@@ -636,6 +666,11 @@
         failed_jobs: BTreeSet::new(),
         idle_since: None,
         folding: false,
+        via: String::new(),
+        rented_now: false,
+        unheeded: 0,
+        unheeded_at: Micros::ZERO,
+        asked: Vec::new(),
     }
 }
 
--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -13,6 +13,10 @@
 pub const CHUNK: u32 = 64;
 /// Longest text that a submission may carry in a name.
 const MAX_NAME: usize = 200;
+/// After so many unheeded answers in a row a machine takes no more offers.
+const DOUBTFUL: u32 = 2;
+/// After so many its reports are no sign of life.
+const DEAF: u32 = 3;
 /// Largest amount that a submission may name.
 const MAX_AMOUNT: f64 = 1e9;
 
@@ -723,6 +727,38 @@
     pub idle_since: Option<Micros>,
     /// Whether its services are being moved to machines that have room, so that it can go back.
     pub folding: bool,
+    /// The controller that passed its newest report on; empty: the leader itself.
+    pub via: String,
+    /// Whether this leader rented it, so that no report of it can be older than this term.
+    pub rented_now: bool,
+    /// Reports in a row that show no sign of the answers before them.
+    pub unheeded: u32,
+    /// When one was last counted.
+    pub unheeded_at: Micros,
+    /// Orders of the newest answer, whose effect the next report should show.
+    pub asked: Vec<(TaskId, u64, Asked)>,
+}
+
+/// What an order is to bring about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Asked {
+    /// The attempt is on the machine.
+    Run,
+    /// It does not run any more.
+    Stop,
+    /// It is not reported any more.
+    Clear,
+}
+
+impl Asked {
+    /// Whether a report with the attempt in this state, or without it, shows the effect.
+    fn is_shown(self, state: Option<TaskState>) -> bool {
+        match self {
+            Asked::Run => state.is_some(),
+            Asked::Stop => state.is_none_or(|s| matches!(s, TaskState::Exited | TaskState::Saving)),
+            Asked::Clear => state.is_none(),
+        }
+    }
 }
 
 impl Machine {
@@ -750,6 +786,37 @@
     pub fn is_empty(&self) -> bool {
         self.held.is_empty() && self.extra.is_empty()
     }
+
+    /// Whether it may be offered tasks, room aside.
+    pub fn takes_offers(&self) -> bool {
+        self.life == Life::Up && self.notice.is_none() && !self.lost && !self.is_doubtful()
+    }
+
+    /// Whether its reports arrive but our answers seem not to reach it. One lost answer says nothing yet.
+    pub fn is_doubtful(&self) -> bool {
+        self.unheeded >= DOUBTFUL
+    }
+
+    /// Whether its reports count as signs of life no more, as it heeds no answer.
+    pub fn is_deaf(&self) -> bool {
+        self.unheeded >= DEAF
+    }
+
+    /// Whether a report shows an effect of the orders in the answer before it; none if there were none.
+    pub fn heeds(&self, report: &Report) -> Option<bool> {
+        if self.asked.is_empty() {
+            return None;
+        }
+        let shown = self.asked.iter().any(|(task, attempt, asked)| {
+            let name = task.to_string();
+            let found = report
+                .tasks
+                .iter()
+                .find(|t| t.attempt == *attempt && t.task == name);
+            asked.is_shown(found.map(|t| t.state))
+        });
+        Some(shown)
+    }
 }
 
 #[cfg(test)]
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -133,7 +133,7 @@
     fn candidates(&self) -> Vec<Candidate> {
         self.machines
             .iter()
-            .filter(|(_, m)| m.life == Life::Up && m.notice.is_none() && !m.lost)
+            .filter(|(_, m)| m.takes_offers())
             .map(|(id, m)| Candidate {
                 id: id.clone(),
                 free: m.free(),
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -96,9 +96,7 @@
         let need = spec.need();
         let mut best: Option<(Micros, MachineId, Vec<TaskId>)> = None;
         for (machine, m) in &self.machines {
-            if m.life != Life::Up
-                || m.notice.is_some()
-                || m.lost
+            if !m.takes_offers()
                 || !m.total.holds(&need)
                 || !self.accepts(id, machine)
                 || (with_image && !m.has_image(&spec.image))
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -23,8 +23,8 @@
 }
 
 impl Scheduler {
-    /// Takes in a report.
-    pub fn on_report(&mut self, r: &Report, now: Micros) -> Heard {
+    /// Takes in a report that the controller `via` passed on, or that came to this one.
+    pub fn on_report(&mut self, r: &Report, via: &str, now: Micros) -> Heard {
         // Late reports of machines that are gone must not bring them back.
         if self.gone.contains(&r.machine) {
             return Heard::default();
@@ -41,9 +41,24 @@
         if m.newest.is_some_and(|newest| at <= newest) {
             return Heard::default();
         }
+        let echoes = r.token == self.token;
+        self.count_unheeded(r, via, now);
+        let Some(m) = self.machines.get_mut(&r.machine) else {
+            return Heard::default();
+        };
         m.newest = Some(at);
-        m.heard_at = now;
-        if m.life == Life::Booting {
+        m.asked.clear();
+        if m.via != via {
+            m.via = via.to_owned();
+        }
+        // Guards against copies of old reports, and against reports of a machine that hears nobody: only what shows
+        // that our answers arrive is a sign of life for long.
+        if !m.is_deaf() {
+            m.heard_at = now;
+        }
+        // Guards against a late copy bringing back a machine that an earlier leader returned: until a report shows
+        // this leader's token, only a machine rented by this leader is taken to be there.
+        if m.life == Life::Booting && (echoes || m.rented_now) {
             m.life = Life::Up;
             m.idle_since = Some(now);
             m.images
@@ -76,6 +91,40 @@
         }
     }
 
+    /// Counts the reports in a row that show no sign of the answers before them: a token that stays behind, orders
+    /// without any effect, a session that ended although we answered.
+    ///
+    /// Guards against a machine whose reports arrive while answers do not reach it: silence never shows, and in id
+    /// order the same task would be sent there again and again.
+    fn count_unheeded(&mut self, r: &Report, via: &str, now: Micros) {
+        let lease = self.knobs.lease;
+        let window = lease + self.knobs.report.scaled(2, 1);
+        let Some(m) = self.machines.get_mut(&r.machine) else {
+            return;
+        };
+        let Some((session, _)) = m.newest else {
+            return;
+        };
+        let behind = r.token < self.token;
+        let ended = r.session > session && now.since(m.heard_at) < lease.scaled(1, 2);
+        let heeds = m.heeds(r);
+        // A worker that misses an answer turns to the next controller: one that stays was answered, if not by us.
+        let stays = self.knobs.controllers > 1 && m.via == via;
+        if behind || !stays && (ended || heeds == Some(false)) {
+            m.unheeded += 1;
+            m.unheeded_at = now;
+            if m.is_deaf() {
+                self.details.push(format!(
+                    "event=unheeded machine={} count={}",
+                    r.machine, m.unheeded
+                ));
+            }
+        } else if stays || heeds == Some(true) || now.since(m.unheeded_at) > window {
+            // Its lease would have run out by now if none of our answers had arrived.
+            m.unheeded = 0;
+        }
+    }
+
     /// Compares placements on the machine with what it reports.
     fn compare_held(&mut self, r: &Report, now: Micros) -> bool {
         let at = (r.session, r.seq);
@@ -84,8 +133,8 @@
             .iter()
             .map(|t| ((t.task.as_str(), t.attempt), t))
             .collect();
-        let held: Vec<TaskId> = match self.machines.get(&r.machine) {
-            Some(m) => m.held.keys().cloned().collect(),
+        let (held, doubtful): (Vec<TaskId>, bool) = match self.machines.get(&r.machine) {
+            Some(m) => (m.held.keys().cloned().collect(), m.is_doubtful()),
             None => return false,
         };
         let mut changed = false;
@@ -133,8 +182,9 @@
             if !proven {
                 continue;
             }
-            if !p.inherited && p.seen.is_none() && p.stopping.is_none() && wanted {
-                // The answer with the start was lost; the same attempt goes out again.
+            if !p.inherited && p.seen.is_none() && p.stopping.is_none() && wanted && !doubtful {
+                // The answer with the start was lost; the same attempt goes out again, unless answers seem not to
+                // reach the machine at all.
                 p.sent = None;
                 continue;
             }
@@ -352,7 +402,8 @@
         if m.newest != Some(report) {
             return Vec::new();
         }
-        let takes_starts = m.life == Life::Up && m.notice.is_none() && !m.lost;
+        let takes_starts = m.takes_offers();
+        let mut asked: Vec<(TaskId, u64, Asked)> = Vec::new();
         let mut orders = Vec::new();
         for (task, attempt) in &m.exited {
             // A finish must be written before its worker forgets it.
@@ -360,6 +411,7 @@
                 j.end.is_some() || !j.is_finished(task.index) || j.is_finish_committed(task.index)
             });
             if written {
+                asked.push((task.clone(), *attempt, Asked::Clear));
                 orders.push(Order::Clear {
                     task: task.to_string(),
                     attempt: *attempt,
@@ -367,6 +419,7 @@
             }
         }
         for (task, attempt) in m.extra.keys() {
+            asked.push((task.clone(), *attempt, Asked::Stop));
             orders.push(Order::Stop {
                 task: task.to_string(),
                 attempt: *attempt,
@@ -391,6 +444,7 @@
                     unsent.push(task);
                 } else if cancelled || p.seen != Some(TaskState::Saving) {
                     // What a cancelled task would save is of no use to anybody.
+                    asked.push((task.clone(), p.attempt, Asked::Stop));
                     orders.push(Order::Stop {
                         task: task.to_string(),
                         attempt: p.attempt,
@@ -401,6 +455,7 @@
                 unsent.push(task);
             } else if never_sent && p.committed && starts.len() + orders.len() < MOST_ORDERS {
                 p.sent = Some(report);
+                asked.push((task.clone(), p.attempt, Asked::Run));
                 starts.push(Order::Run {
                     task: task.to_string(),
                     attempt: p.attempt,
@@ -412,6 +467,9 @@
         }
         orders.truncate(MOST_ORDERS - starts.len());
         orders.extend(starts);
+        if let Some(m) = self.machines.get_mut(machine) {
+            m.asked = asked;
+        }
         orders
     }
 
@@ -428,7 +486,8 @@
     }
 
     /// Another controller hears these machines though their reports can't get here: they are alive.
-    pub fn on_heard(&mut self, machines: &[MachineId], now: Micros) {
+    pub fn on_heard(&mut self, node: &str, machines: &[MachineId], now: Micros) {
+        self.told.insert(node.to_owned(), now);
         for id in machines {
             if let Some(m) = self.machines.get_mut(id) {
                 m.heard_at = now;
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -92,6 +92,8 @@
     done: BTreeSet<JobId>,
     images: BTreeMap<MachineId, Vec<CachedImage>>,
     workers: BTreeMap<String, Worker>,
+    /// The controller that passes reports on.
+    via: &'static str,
 }
 
 fn flavor() -> Flavor {
@@ -117,6 +119,7 @@
         reserve: None,
         offers_per_round: 20_000,
         rent_per_round: 24,
+        controllers: 3,
         report: Micros::secs(3),
         lease: Micros::secs(36),
         cancel: Micros::secs(60),
@@ -178,6 +181,7 @@
             done: BTreeSet::new(),
             images: BTreeMap::new(),
             workers: BTreeMap::new(),
+            via: "n-1",
         }
     }
 
@@ -216,6 +220,8 @@
             ..Worker::default()
         };
         self.workers.insert(name.into(), worker);
+        // The first answer tells it the token, the next report shows it.
+        self.beat(name);
         self.beat(name);
     }
 
@@ -272,7 +278,7 @@
     }
 
     fn deliver(&mut self, report: &Report) -> Vec<Order> {
-        self.s.on_report(report, self.now);
+        self.s.on_report(report, self.via, self.now);
         self.round();
         let at = (report.session, report.seq);
         self.s.orders_for(&report.machine, at, self.now)
@@ -306,6 +312,14 @@
     }
 }
 
+fn controller(node: &str, zone: &str, answers: bool) -> Controller {
+    Controller {
+        node: node.into(),
+        zone: zone.into(),
+        answers,
+    }
+}
+
 fn runs(orders: &[Order]) -> usize {
     orders
         .iter()
@@ -345,7 +359,7 @@
     t.submit(spec("j-1", 1));
     t.s.round(t.now);
     let report = t.workers.get_mut("m-1").unwrap().report("m-1");
-    t.s.on_report(&report, t.now);
+    t.s.on_report(&report, "n-1", t.now);
     let at = (report.session, report.seq);
     assert_eq!(runs(&t.s.orders_for(&report.machine, at, t.now)), 0);
     t.commit();
@@ -384,7 +398,7 @@
     let w = t.workers.get_mut("m-1").unwrap();
     w.exit_all(ExitCause::Done);
     let report = w.report("m-1");
-    t.s.on_report(&report, t.now);
+    t.s.on_report(&report, "n-1", t.now);
     let at = (report.session, report.seq);
     assert_eq!(t.s.orders_for(&report.machine, at, t.now), vec![]);
     t.commit();
@@ -573,7 +587,7 @@
     // Another controller hears half of them; of the others the leases are over in the end.
     t.wait(25);
     let heard: Vec<MachineId> = (0..4).map(|i| MachineId(format!("m-b{i}"))).collect();
-    t.s.on_heard(&heard, t.now);
+    t.s.on_heard("n-2", &heard, t.now);
     for i in 0..8 {
         t.beat(&format!("m-a{i}"));
     }
@@ -831,6 +845,7 @@
     );
     t.submit(spec("j-1", 1));
     t.worker("m-9", "b", false);
+    t.wait(1);
     t.beat("m-9");
     assert_eq!(t.running(), 1);
 }
@@ -840,7 +855,7 @@
 fn a_scattered_service_is_moved_and_its_machine_goes_back() {
     let mut t = Story::new(0.0);
     t.s.knobs.reserve = Some(0);
-    t.s.set_unanswering(&[], t.now);
+    t.s.set_controllers(&[], t.now);
     t.worker("m-1", "a", false);
     let filler = t.submit(live("j-0"));
     t.submit(live("j-1"));
@@ -937,7 +952,7 @@
         .insert(stray, (TaskState::Running, None));
     t.submit(spec("j-1", 1));
     let report = t.workers.get_mut("m-2").unwrap().report("m-2");
-    t.s.on_report(&report, t.now);
+    t.s.on_report(&report, "n-1", t.now);
     t.round();
     t.beat_all();
     assert_eq!(t.running(), 1);
@@ -968,6 +983,7 @@
     t.worker("m-1", "a", false);
     t.take_over(TOKEN + 1);
     t.beat_all();
+    t.beat_all();
     t.submit(spec("j-2", 1));
     t.round();
     t.beat_all();
@@ -1061,7 +1077,10 @@
 // Guards against giving up live machines in a cut: a worker may try two controllers in vain, five seconds each.
 #[test]
 fn a_machine_is_given_more_time_while_controllers_do_not_answer() {
-    let quiet_until_given_up = |unanswering: &[String]| {
+    let quiet_until_given_up = |silent: &[(&str, &str)]| {
+        let mut controllers = vec![controller("n-0", "a", true), controller("n-1", "a", true)];
+        controllers.push(controller("n-2", "b", true));
+        controllers.extend(silent.iter().map(|(n, z)| controller(n, z, false)));
         let mut t = Story::new(0.0);
         for i in 0..8 {
             t.worker(&format!("m-{i}"), "a", false);
@@ -1069,12 +1088,12 @@
         // Long enough in office to know whether all is well.
         for _ in 0..20 {
             t.wait(1);
-            t.s.set_unanswering(unanswering, t.now);
+            t.s.set_controllers(&controllers, t.now);
             t.beat_all();
         }
         for second in 1..30 {
             t.wait(1);
-            t.s.set_unanswering(unanswering, t.now);
+            t.s.set_controllers(&controllers, t.now);
             for i in 1..8 {
                 t.beat(&format!("m-{i}"));
             }
@@ -1084,11 +1103,10 @@
         }
         30
     };
-    let zone = |z: &str| z.to_owned();
     assert_eq!(quiet_until_given_up(&[]), 6);
-    assert_eq!(quiet_until_given_up(&[zone("b")]), 12);
-    assert_eq!(quiet_until_given_up(&[zone("a")]), 17);
-    assert_eq!(quiet_until_given_up(&[zone("b"), zone("b")]), 17);
+    assert_eq!(quiet_until_given_up(&[("n-3", "b")]), 12);
+    assert_eq!(quiet_until_given_up(&[("n-3", "a")]), 17);
+    assert_eq!(quiet_until_given_up(&[("n-3", "b"), ("n-4", "b")]), 17);
 }
 
 // Guards against giving up a cut zone a few machines at a time, as they fall silent one after the other.
@@ -1156,3 +1174,237 @@
     assert_eq!(second.len(), 3);
     assert!(second.iter().all(|a| *a == second[0] && *a > first[0]));
 }
+
+/// Reports that go out, each by another controller as nobody answers, while the orders of their answers are lost.
+fn unheard(t: &mut Story, name: &str, nth: usize) -> Vec<Order> {
+    t.via = ["n-1", "n-2", "n-3"][nth % 3];
+    let orders = t.ask(name);
+    t.via = "n-1";
+    orders
+}
+
+// Guards against a machine whose reports arrive while answers do not reach it: silence never shows, and id order would
+// send the same task there for ever.
+#[test]
+fn a_machine_that_hears_no_answer_takes_no_more_and_goes_back() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    for i in 1..9 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    t.submit(spec("j-1", 1));
+    t.round();
+    assert_eq!(runs(&unheard(&mut t, "m-1", 0)), 1);
+    t.wait(5);
+    assert_eq!(
+        runs(&unheard(&mut t, "m-1", 1)),
+        1,
+        "one lost answer says nothing"
+    );
+    t.wait(5);
+    assert_eq!(runs(&unheard(&mut t, "m-1", 2)), 0, "two in a row do");
+    t.wait(1);
+    for i in 2..9 {
+        t.beat(&format!("m-{i}"));
+    }
+    assert_eq!(t.workers["m-2"].running(), 1, "its start was proven lost");
+    // A task that it does run, and that must stop, is lost on deaf ears as well; then the machine is given back.
+    let stuck = t.submit(spec("j-2", 40));
+    t.round();
+    t.beat("m-1");
+    assert_eq!(t.workers["m-1"].running(), 0);
+    t.wait(60);
+    t.beat_all();
+    t.beat_all();
+    assert!(
+        t.workers["m-1"].running() > 0,
+        "answers arrive again, so it takes offers again"
+    );
+    t.s.end_job(
+        &stuck,
+        End {
+            how: Final::Aborted,
+            at: 0,
+            done: 0,
+        },
+    );
+    let mut waited = 0;
+    while t.s.plan_fleet(t.now, 0).give_back.is_empty() {
+        t.wait(5);
+        waited += 5;
+        unheard(&mut t, "m-1", waited);
+        for i in 2..9 {
+            t.beat(&format!("m-{i}"));
+        }
+        assert!(
+            waited <= 30,
+            "its reports must not count as signs of life for ever"
+        );
+    }
+    let gone = t.s.plan_fleet(t.now, 0).give_back;
+    assert_eq!(gone, [MachineId("m-1".into())]);
+    assert!(
+        t.workers["m-1"].running() > 0,
+        "and until then nothing of it ran elsewhere"
+    );
+}
+
+// Guards against emptying a zone behind a cut through which only one direction passes.
+#[test]
+fn many_machines_that_hear_no_answer_are_taken_for_a_cut() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    for i in 0..8 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    let job = t.submit(spec("j-1", 16));
+    t.round();
+    t.beat_all();
+    t.s.end_job(
+        &job,
+        End {
+            how: Final::Aborted,
+            at: 0,
+            done: 0,
+        },
+    );
+    for second in (0..30).step_by(5) {
+        t.wait(5);
+        for i in 0..8 {
+            let name = format!("m-{i}");
+            if i < 4 {
+                unheard(&mut t, &name, second / 5);
+            } else {
+                t.beat(&name);
+            }
+        }
+        assert!(
+            t.s.plan_fleet(t.now, 0).give_back.is_empty(),
+            "after {second} s"
+        );
+    }
+}
+
+// Guards against late copies of reports: of a machine returned, of an earlier state, of an earlier session.
+#[test]
+fn late_copies_of_reports_prove_nothing_bring_nothing_back_and_count_nothing_twice() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.worker("m-2", "a", false);
+    let before_any = t.workers.get_mut("m-1").expect("a worker").report("m-1");
+    t.submit(spec("j-1", 2));
+    t.round();
+    t.beat("m-1");
+    t.beat("m-1");
+    assert_eq!(t.workers["m-1"].running(), 2);
+    // To the same leader: the copy lacks the tasks, which proves nothing.
+    t.wait(40);
+    assert_eq!(t.deliver(&before_any), vec![]);
+    assert_eq!(t.s.jobs[&JobId("j-1".into())].live, 2);
+    // To a new leader that has not heard the machine: no proof, no sign that it is there, no orders to start.
+    t.submit(spec("j-2", 2));
+    t.take_over(TOKEN + 1);
+    assert_eq!(runs(&t.deliver(&before_any)), 0);
+    assert_eq!(t.s.jobs[&JobId("j-1".into())].live, 2);
+    // A machine that the earlier leader returned is not brought back to take offers.
+    let mut lost = Worker {
+        zone: "a".into(),
+        session: 1,
+        token: TOKEN,
+        ..Worker::default()
+    };
+    for _ in 0..4 {
+        t.wait(1);
+        let copy = lost.report("m-0");
+        assert_eq!(runs(&t.deliver(&copy)), 0);
+    }
+    assert!(t.s.machines[&MachineId("m-0".into())].held.is_empty());
+    // A finish told again, in a copy and from an earlier session, counts once; its clear goes out as ever.
+    t.beat_all();
+    t.workers
+        .get_mut("m-1")
+        .expect("a worker")
+        .exit_all(ExitCause::Done);
+    let finished = t.workers.get_mut("m-1").expect("a worker").report("m-1");
+    t.deliver(&finished);
+    t.deliver(&finished);
+    assert_eq!(t.s.jobs[&JobId("j-1".into())].done, 2);
+    assert_eq!(t.done.len(), 1);
+    t.take_over(TOKEN + 2);
+    t.deliver(&finished);
+    assert_eq!(t.s.jobs[&JobId("j-1".into())].done, 2);
+    // From a machine that this leader returned: nothing at all.
+    let gone = MachineId("m-1".into());
+    t.s.returned(std::slice::from_ref(&gone), t.now);
+    assert_eq!(t.deliver(&finished), vec![]);
+    assert!(!t.s.machines.contains_key(&gone));
+}
+
+// Guards against giving up the workers of a controller that lost the state service and the other controllers, but keeps
+// its workers alive; and against keeping for ever what died behind it.
+#[test]
+fn the_workers_of_a_controller_that_lost_everything_else_are_not_given_up() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    for i in 0..10 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    let mut controllers = vec![controller("n-0", "a", true), controller("n-1", "a", true)];
+    let beat = |t: &mut Story, nth: usize| {
+        t.via = if nth == 0 { "n-1" } else { "n-0" };
+        t.beat(&format!("m-{nth}"));
+    };
+    (0..10).for_each(|i| beat(&mut t, i));
+    controllers[1].answers = false;
+    for _ in 0..30 {
+        t.wait(3);
+        t.s.set_controllers(&controllers, t.now);
+        (1..10).for_each(|i| beat(&mut t, i));
+        assert!(t.s.plan_fleet(t.now, 0).give_back.is_empty());
+    }
+    // One that the cloud says has failed is not waited for.
+    let listed = (0..10).map(|i| Listed {
+        machine: MachineId(format!("m-{i}")),
+        rig: "rig".into(),
+        zone: "a".into(),
+        spot: false,
+        status: if i == 0 {
+            ListedStatus::Failed
+        } else {
+            ListedStatus::Running
+        },
+        age_s: 100.0,
+    });
+    t.s.on_list(&listed.collect::<Vec<_>>(), t.now);
+    assert_eq!(
+        t.s.plan_fleet(t.now, 0).give_back,
+        [MachineId("m-0".into())]
+    );
+}
+
+// Guards against a machine that is back under a new session before the old one was missed: what it lost starts again,
+// what was on its way to the old session is not taken for started, and one such return is no deafness.
+#[test]
+fn a_machine_back_at_once_under_a_new_session_starts_its_tasks_again() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(spec("j-1", 2));
+    t.round();
+    let lost = t.ask("m-1");
+    assert_eq!(runs(&lost), 2);
+    let worker = t.workers.get_mut("m-1").expect("a worker");
+    (worker.session, worker.seq) = (2, 0);
+    t.beat("m-1");
+    t.wait(1);
+    t.beat("m-1");
+    t.beat("m-1");
+    assert_eq!(t.workers["m-1"].running(), 2);
+    let worker = t.workers.get_mut("m-1").expect("a worker");
+    worker.tasks.clear();
+    (worker.session, worker.seq) = (3, 0);
+    t.beat("m-1");
+    t.wait(1);
+    t.beat("m-1");
+    assert_eq!(t.workers["m-1"].running(), 2);
+    assert!(t.s.plan_fleet(t.now, 0).give_back.is_empty());
+}
--- a/src/store.rs
+++ b/src/store.rs
@@ -54,9 +54,9 @@
     format!("r/run/{id}/{chunk:05}")
 }
 
-/// The key under which a controller tells which machines it hears.
-pub fn heard_key(node: &str) -> String {
-    format!("r/heard/{node}")
+/// The keys under which a controller tells which machines it hears, as many as one value can't hold.
+pub fn heard_key(node: &str, part: usize) -> String {
+    format!("r/heard/{node}/{part}")
 }
 
 /// The key of the images that a machine has.
@@ -144,7 +144,7 @@
     /// A job is over.
     End(JobId),
     /// A controller tells which machines it hears.
-    Heard(Vec<MachineId>),
+    Heard(String, Vec<MachineId>),
     /// The machine types were written.
     Flavors,
 }
@@ -220,8 +220,9 @@
                 .insert(MachineId(machine.to_owned()), parse(value)?);
             return Ok(None);
         }
-        if rest.starts_with("heard/") {
-            return Ok(Some(Seen::Heard(parse(value)?)));
+        if let Some(node) = rest.strip_prefix("heard/") {
+            let node = node.split('/').next().unwrap_or_default();
+            return Ok(Some(Seen::Heard(node.to_owned(), parse(value)?)));
         }
         match key {
             LEADER => {
@@ -322,7 +323,8 @@
     pub view: RefCell<View>,
     /// Fires after every change of the view.
     pub changed: Event,
-    seen: RefCell<Vec<Seen>>,
+    /// What happened, kept only while somebody leads by it.
+    seen: RefCell<Option<Vec<Seen>>>,
     /// Fires when there is something for [`Store::take_seen`].
     pub news: Event,
     pause: Micros,
@@ -360,9 +362,18 @@
         self.answered.set(self.clock.now());
     }
 
+    /// Begins or ends the keeping of what happens for [`Store::take_seen`].
+    ///
+    /// Guards against a follower keeping all that it ever saw, and against a new leader taking old signs of life for
+    /// new ones.
+    pub fn keep_seen(&self, keep: bool) {
+        *self.seen.borrow_mut() = keep.then(Vec::new);
+    }
+
     /// What happened since the last call.
     pub fn take_seen(&self) -> Vec<Seen> {
-        std::mem::take(&mut self.seen.borrow_mut())
+        let mut seen = self.seen.borrow_mut();
+        seen.as_mut().map(std::mem::take).unwrap_or_default()
     }
 
     /// The duty that fills the view and follows every change.
@@ -458,8 +469,10 @@
     }
 
     fn publish(&self, seen: Vec<Seen>) {
-        if !seen.is_empty() {
-            self.seen.borrow_mut().extend(seen);
+        if let Some(kept) = &mut *self.seen.borrow_mut()
+            && !seen.is_empty()
+        {
+            kept.extend(seen);
             self.news.notify(usize::MAX);
         }
         self.changed.notify(usize::MAX);
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -38,41 +38,46 @@
         }
     };
     let seen = report.token;
+    let (machine, zone) = (report.machine.clone(), report.zone.clone());
     match checkin(node, report).await {
         // A worker drops a lower token but stays, while its lease runs out: it must be sent elsewhere.
         Some(answer) if answer.token >= seen => Reply::json(
             200,
             &json!({"warrant": answer.token, "orders": answer.orders}),
         ),
-        _ => Reply::error(503, "no leader within reach"),
+        Some(_) => Reply::error(503, "no leader within reach"),
+        // Nobody can be asked: the answer keeps the worker's tasks alive, and gives no orders.
+        None => {
+            if let Some(other) = node.hand_off(&machine, &zone) {
+                debug!("event=handed_off machine={machine} to={other}");
+                return Reply::json(421, &json!({ "muster": other }));
+            }
+            let token = node.known().token;
+            if token == 0 || token < seen {
+                return Reply::error(503, "no leader within reach");
+            }
+            node.note_heard(machine);
+            Reply::json(200, &json!({"warrant": token, "orders": []}))
+        }
     }
 }
 
 async fn checkin(node: &Rc<Node>, report: Report) -> Option<Answer> {
     if let Some(leading) = node.leading() {
-        return lead(node, &leading, &report).await;
+        return lead(node, &leading, &report, "").await;
     }
-    let machine = report.machine.clone();
-    if let Some(answer) = forward(node, report, true).await {
-        return Some(answer);
-    }
-    // Nobody can be asked: the answer keeps the worker's tasks alive, and gives no orders.
-    let token = node.known().token;
-    node.note_heard(machine);
-    (token > 0).then_some(Answer {
-        token,
-        orders: Vec::new(),
-    })
+    let own = node.platform.node.clone();
+    forward(node, report, &own, true).await
 }
 
 /// The leader's own answer to a report.
-pub async fn lead(node: &Node, leading: &Leading, report: &Report) -> Option<Answer> {
+pub async fn lead(node: &Node, leading: &Leading, report: &Report, via: &str) -> Option<Answer> {
     // Somebody else leads, or the worker is mad: it is sent elsewhere, and who leads is asked of the controllers.
     if report.token > leading.token() {
         return None;
     }
     let now = node.clock.now();
-    let heard = leading.scheduler.borrow_mut().on_report(report, now);
+    let heard = leading.scheduler.borrow_mut().on_report(report, via, now);
     let unwritten = leading.scheduler.borrow().awaits_write(&report.machine);
     if heard.fresh && (heard.changed || unwritten) {
         // What the report brought is written, and what it made room for is placed, before the worker is answered.
@@ -92,11 +97,11 @@
 }
 
 /// Asks the leader on a worker's behalf: directly, and if that fails through another controller.
-async fn forward(node: &Rc<Node>, report: Report, relay: bool) -> Option<Answer> {
+async fn forward(node: &Rc<Node>, report: Report, via: &str, relay: bool) -> Option<Answer> {
     let leader = node.known().leader?;
     let direct = node.peers.iter().find(|p| p.node == leader)?;
     if !node.avoids(&leader) {
-        match ask(node, direct, report.clone(), false).await {
+        match ask(node, direct, report.clone(), via, false).await {
             Some(answer) => return Some(answer),
             None => node.avoid(&leader, node.clock.now() + AVOID_FOR),
         }
@@ -108,15 +113,25 @@
         if other.node == leader || node.avoids(&other.node) {
             continue;
         }
-        if let Some(answer) = ask(node, other, report.clone(), true).await {
+        if let Some(answer) = ask(node, other, report.clone(), via, true).await {
             return Some(answer);
         }
     }
     None
 }
 
-async fn ask(node: &Node, peer: &peer::Peer, report: Report, relay: bool) -> Option<Answer> {
-    let request = Request::Report { relay, report };
+async fn ask(
+    node: &Node,
+    peer: &peer::Peer,
+    report: Report,
+    via: &str,
+    relay: bool,
+) -> Option<Answer> {
+    let request = Request::Report {
+        relay,
+        via: via.to_owned(),
+        report,
+    };
     match peer.call(node.known(), request, FORWARD_WITHIN).await {
         Ok(frame) => {
             node.learn(&frame.known);
@@ -137,10 +152,10 @@
 }
 
 /// Answers a report that another controller passed on.
-pub async fn passed_on(node: &Rc<Node>, report: Report, relay: bool) -> peer::Reply {
+pub async fn passed_on(node: &Rc<Node>, report: Report, via: &str, relay: bool) -> peer::Reply {
     let answer = match node.leading() {
-        Some(leading) => lead(node, &leading, &report).await,
-        None if relay => forward(node, report, false).await,
+        Some(leading) => lead(node, &leading, &report, via).await,
+        None if relay => forward(node, report, via, false).await,
         None => None,
     };
     match answer {
