Rent as fast as the cloud takes requests, each rental under a key of its own

Ruled out: processor (the leader used a quarter of its share), capacity (1,200 ordinary machines). Now a round may ask for a quarter of a second's requests of fifty machines; requests are written down in one transaction and go out side by side.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,5 +1,6 @@
 //! The platform's settings file (TOML) and the operators' own settings (XML), checked before anything starts.
 
+use crate::cloud::MAX_RENT;
 use crate::scheduler::{Knobs, TeamShare};
 use crate::units::Micros;
 use serde::Deserialize;
@@ -359,13 +360,15 @@
         let aims = |kind: &'static str| facts.objectives.iter().filter(move |o| o.kind == kind);
         // A round takes some microseconds for each offer; a fifth of a second of the processor's share is the most.
         let offers = (facts.machine_limits.core_share * 200_000.0) as usize;
+        // A quarter of a second's requests, of fifty machines each.
+        let rent_per_round = ((facts.cloud.rps * MAX_RENT as f64 / 4.0) as usize).max(24);
         Knobs {
             retry: Micros::millis(self.retry_ms.unwrap_or(400)),
             jitter: Micros::millis(self.jitter_ms.unwrap_or(100)),
             idle: self.idle_s.map(Micros::secs),
             reserve: self.reserve,
             offers_per_round: self.offers_per_round.unwrap_or(offers.max(1_000)),
-            rent_per_round: self.rent_per_round.unwrap_or(24),
+            rent_per_round: self.rent_per_round.unwrap_or(rent_per_round),
             controllers: facts.size,
             report: platform.report(),
             lease: Micros::from_secs_f64(facts.workers.lease_s),
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -7,7 +7,7 @@
 use crate::scheduler::{End, Final, Flavor, JobId, MachineId, Scheduler, Want, Write};
 use crate::state::{Change, Condition, Outcome, StateError, Urgency};
 use crate::store::{
-    FLAVORS, LEADER, RENTALS, RentalRecord, Seen, View, chunk_key, end_key, images_key, job_key,
+    FLAVORS, LEADER, RentalRecord, Seen, View, chunk_key, end_key, images_key, job_key, rental_key,
 };
 use crate::units::Micros;
 use async_io::Timer;
@@ -17,6 +17,8 @@
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::Future;
+use std::task::Poll;
 
 /// Most time between two rounds.
 const ROUND_EVERY: Micros = Micros::millis(200);
@@ -48,7 +50,7 @@
     begun: Cell<u64>,
     ended: Cell<u64>,
     round_ended: Event,
-    rentals: RefCell<Vec<RentalRecord>>,
+    rentals: RefCell<BTreeMap<String, RentalRecord>>,
     charters: Cell<u64>,
 }
 
@@ -67,11 +69,8 @@
         if let Some(flavors) = &view.flavors {
             scheduler.set_flavors(&flavors.value);
         }
-        let rentals = view
-            .rentals
-            .as_ref()
-            .map_or(Vec::new(), |r| r.value.clone());
-        for record in &rentals {
+        let rentals = view.rentals.clone();
+        for record in rentals.values() {
             if let Some(machines) = &record.machines {
                 scheduler.inherit_rented(&record.pool(), machines, now);
             }
@@ -467,11 +466,7 @@
             scheduler.plan_fleet(now, node.clock.wall())
         };
         let give_back = give_back(node, leading, &plan.give_back);
-        let rent = async {
-            for want in &plan.rent {
-                rent(node, leading, want).await;
-            }
-        };
+        let rent = rent(node, leading, &plan.rent);
         future::zip(give_back, rent).await;
     }
 }
@@ -483,7 +478,7 @@
                 info!("event=machines_returned count={}", part.len());
                 let now = node.clock.now();
                 leading.scheduler.borrow_mut().returned(part, now);
-                for record in leading.rentals.borrow_mut().iter_mut() {
+                for record in leading.rentals.borrow_mut().values_mut() {
                     if let Some(machines) = &mut record.machines {
                         machines.retain(|m| !part.contains(m));
                     }
@@ -503,7 +498,7 @@
     let open: Vec<Rental> = leading
         .rentals
         .borrow()
-        .iter()
+        .values()
         .filter(|r| r.machines.is_none())
         .map(|r| r.rental.clone())
         .collect();
@@ -512,37 +507,87 @@
     }
 }
 
-async fn rent(node: &Node, leading: &Leading, want: &Want) {
+/// Rents what is wanted: all requests are written down in one transaction before any is sent, so that the next leader
+/// can ask for their answers, and go out side by side.
+async fn rent(node: &Node, leading: &Leading, wants: &[Want]) {
+    let forgotten = forget_rentals(node, leading);
+    let requests: Vec<(Want, Rental)> = wants
+        .iter()
+        .flat_map(split_want)
+        .take(node.platform.facts.state.txn_ops / 2)
+        .map(|want| {
+            let rental = name_rental(leading, &want);
+            (want, rental)
+        })
+        .collect();
+    if requests.is_empty() && forgotten.is_empty() {
+        return;
+    }
+    let at = node.clock.wall();
+    let open = requests.iter().map(|(_, rental)| RentalRecord {
+        rental: rental.clone(),
+        machines: None,
+        at,
+    });
+    if !note_rentals(node, leading, open.collect(), forgotten).await {
+        return;
+    }
+    for (want, _) in &requests {
+        leading.scheduler.borrow_mut().rent_started(want);
+    }
+    let asked = requests.iter().map(|(want, rental)| async move {
+        let machines = request(node, leading, rental).await;
+        let now = node.clock.now();
+        let mut scheduler = leading.scheduler.borrow_mut();
+        scheduler.rent_done(want, &machines, now);
+    });
+    all(asked.collect()).await;
+    let names = requests.iter().map(|(_, rental)| &rental.charter);
+    let answered = names.filter_map(|n| leading.rentals.borrow().get(n).cloned());
+    let answered: Vec<RentalRecord> = answered.collect();
+    if !answered.is_empty() {
+        note_rentals(node, leading, answered, Vec::new()).await;
+    }
+}
+
+/// Runs all of these side by side.
+async fn all<F: Future<Output = ()>>(work: Vec<F>) {
+    let mut open: Vec<_> = work.into_iter().map(Box::pin).collect();
+    future::poll_fn(|cx| {
+        open.retain_mut(|one| one.as_mut().poll(cx).is_pending());
+        if open.is_empty() {
+            Poll::Ready(())
+        } else {
+            Poll::Pending
+        }
+    })
+    .await;
+}
+
+/// A want in parts that one request may ask for.
+fn split_want(want: &Want) -> Vec<Want> {
+    let part = |count| Want {
+        pool: want.pool.clone(),
+        count,
+    };
+    let mut parts = vec![part(MAX_RENT); want.count / MAX_RENT];
+    if !want.count.is_multiple_of(MAX_RENT) {
+        parts.push(part(want.count % MAX_RENT));
+    }
+    parts
+}
+
+/// A request under a name that is never used again.
+fn name_rental(leading: &Leading, want: &Want) -> Rental {
     let number = leading.charters.get();
     leading.charters.set(number + 1);
-    let rental = Rental {
+    Rental {
         charter: format!("r-{}-{number}", leading.token()),
         rig: want.pool.rig.clone(),
         zone: want.pool.zone.clone(),
         spot: want.pool.spot,
-        count: want.count.min(MAX_RENT),
-    };
-    leading.rentals.borrow_mut().push(RentalRecord {
-        rental: rental.clone(),
-        machines: None,
-        at: node.clock.wall(),
-    });
-    // The request is written down before it is sent, so that the next leader can ask for its answer.
-    if !note_rentals(node, leading).await {
-        leading
-            .rentals
-            .borrow_mut()
-            .retain(|r| r.rental.charter != rental.charter);
-        return;
+        count: want.count,
     }
-    leading.scheduler.borrow_mut().rent_started(want);
-    let machines = request(node, leading, &rental).await;
-    let now = node.clock.now();
-    leading
-        .scheduler
-        .borrow_mut()
-        .rent_done(want, &machines, now);
-    note_rentals(node, leading).await;
 }
 
 /// Sends a rental request, again where the answer is lost, and notes what came of it.
@@ -575,38 +620,56 @@
             }
         }
     }
-    for record in leading.rentals.borrow_mut().iter_mut() {
-        if record.rental.charter == rental.charter {
-            record.machines = Some(machines.clone());
-            let now = node.clock.now();
-            let pool = record.pool();
-            leading
-                .scheduler
-                .borrow_mut()
-                .inherit_rented(&pool, &machines, now);
-        }
+    if let Some(record) = leading.rentals.borrow_mut().get_mut(&rental.charter) {
+        record.machines = Some(machines.clone());
+        let now = node.clock.now();
+        let pool = record.pool();
+        let mut scheduler = leading.scheduler.borrow_mut();
+        scheduler.inherit_rented(&pool, &machines, now);
     }
     machines
 }
 
-/// Writes down the recent rentals; false if that was not confirmed.
-async fn note_rentals(node: &Node, leading: &Leading) -> bool {
+/// The names of rentals that no later leader needs: by now their machines are in every list, or gone.
+fn forget_rentals(node: &Node, leading: &Leading) -> Vec<String> {
     let wall = node.clock.wall();
-    let limit = node.platform.facts.state.value_kb * 1024.0;
-    let value = {
-        let mut rentals = leading.rentals.borrow_mut();
-        rentals.retain(|r| wall.saturating_sub(r.at) < RENTAL_KEPT.0);
-        while json!(*rentals).to_string().len() as f64 > limit && !rentals.is_empty() {
-            rentals.remove(0);
-        }
-        json!(*rentals)
-    };
-    let put = Change::Put {
-        key: RENTALS.into(),
-        value,
+    let rentals = leading.rentals.borrow();
+    let old = rentals.iter().filter(|(_, r)| {
+        let none_left = r.machines.as_ref().is_some_and(Vec::is_empty);
+        none_left || wall.saturating_sub(r.at) >= RENTAL_KEPT.0
+    });
+    old.map(|(name, _)| name.clone())
+        .take(node.platform.facts.state.txn_ops / 2)
+        .collect()
+}
+
+/// Writes down rentals and removes others in one transaction; false if that was not confirmed.
+async fn note_rentals(
+    node: &Node,
+    leading: &Leading,
+    records: Vec<RentalRecord>,
+    forgotten: Vec<String>,
+) -> bool {
+    let puts = records.iter().map(|record| Change::Put {
+        key: rental_key(&record.rental.charter),
+        value: json!(record),
         lease: None,
-    };
+    });
+    let deletes = forgotten.iter().map(|charter| Change::Delete {
+        key: rental_key(charter),
+    });
+    let changes: Vec<Change> = puts.chain(deletes).collect();
     let when = [leading.leader_condition()];
-    let written = node.state.txn(Urgency::Now, &when, &[put]).await;
-    matches!(written, Ok(Outcome::Applied(_)))
+    let written = node.state.txn(Urgency::Now, &when, &changes).await;
+    let good = matches!(written, Ok(Outcome::Applied(_)));
+    if good {
+        let mut rentals = leading.rentals.borrow_mut();
+        for charter in &forgotten {
+            rentals.remove(charter);
+        }
+        for record in records {
+            rentals.insert(record.rental.charter.clone(), record);
+        }
+    }
+    good
 }
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -7,7 +7,7 @@
 /// How long a pool that had no machine is left alone.
 const POOL_PAUSE: Micros = Micros::secs(20);
 /// Tasks looked at in one round when counting what to rent.
-const TASKS_PER_ROUND: usize = 1_000;
+const TASKS_PER_ROUND: usize = 10_000;
 /// The cloud charges at least so much for a machine that is given back.
 const LEAST_CHARGE: Micros = Micros::secs(60);
 /// How long a worker waits for an answer, and then before it tries the next controller.
@@ -89,6 +89,17 @@
     later: bool,
 }
 
+/// A plan of rentals in the making.
+struct Plan {
+    bins: Vec<Bin>,
+    /// The first bin that may take the next task of the job at hand.
+    next: usize,
+    /// Machines to be rented by it.
+    rented: usize,
+    /// Machines by zone, those to be rented included.
+    in_zone: BTreeMap<String, usize>,
+}
+
 impl Scheduler {
     /// What to rent and give back. `wall` is the time of day in microseconds.
     pub fn plan_fleet(&mut self, now: Micros, wall: u64) -> FleetPlan {
@@ -482,7 +493,7 @@
         {
             return Vec::new();
         }
-        let mut bins = self.coming(now);
+        let mut plan = self.begin_plan(now);
         let mut planned_use: BTreeMap<String, Room> = BTreeMap::new();
         let mut left = TASKS_PER_ROUND;
         for id in self.waiting_jobs(now) {
@@ -492,12 +503,13 @@
             let spec = job.spec.clone();
             let need = spec.need();
             let mut in_zone: BTreeMap<String, u32> = BTreeMap::new();
+            plan.next = 0;
             for _ in 0..job.waiting() {
                 let planned = planned_use.entry(spec.team.clone()).or_default();
                 if left == 0 || !self.within_limit(&spec.team, &(*planned + need)) {
                     break;
                 }
-                let Some(zone) = self.plan_task(job, &in_zone, &mut bins, now) else {
+                let Some(zone) = self.plan_task(job, &in_zone, &mut plan, now) else {
                     break;
                 };
                 *planned += need;
@@ -508,9 +520,10 @@
         if let Some((spec, places)) = reserve {
             let job = reserve_job(spec.clone());
             let have = self.free_places(&spec);
+            plan.next = 0;
             for _ in have..places {
                 if self
-                    .plan_task(&job, &BTreeMap::new(), &mut bins, now)
+                    .plan_task(&job, &BTreeMap::new(), &mut plan, now)
                     .is_none()
                 {
                     break;
@@ -518,7 +531,7 @@
             }
         }
         let mut wants: BTreeMap<Pool, usize> = BTreeMap::new();
-        for bin in bins.into_iter().filter(|b| b.new) {
+        for bin in plan.bins.into_iter().filter(|b| b.new) {
             *wants.entry(bin.pool).or_default() += 1;
         }
         let mut allowed = self.knobs.rent_per_round;
@@ -622,12 +635,30 @@
         job.spec.shape == Shape::Array && left.max(expected.scaled(1, 4)) <= limit
     }
 
+    fn begin_plan(&self, now: Micros) -> Plan {
+        let mut in_zone: BTreeMap<String, usize> = BTreeMap::new();
+        for m in self.machines.values() {
+            match in_zone.get_mut(&m.zone) {
+                Some(n) => *n += 1,
+                None => {
+                    in_zone.insert(m.zone.clone(), 1);
+                }
+            }
+        }
+        Plan {
+            bins: self.coming(now),
+            next: 0,
+            rented: 0,
+            in_zone,
+        }
+    }
+
     /// Finds coming room for a task, or adds a machine to rent; the zone, or none where nothing can be had.
     fn plan_task(
         &self,
         job: &Job,
         in_zone: &BTreeMap<String, u32>,
-        bins: &mut Vec<Bin>,
+        plan: &mut Plan,
         now: Micros,
     ) -> Option<String> {
         let spec = &job.spec;
@@ -639,22 +670,26 @@
         };
         // What has a deadline or must start at once does not wait for others to end.
         let patient = spec.due_s.is_none() && !self.knobs.wait_within.contains_key(&spec.class);
-        let fit = bins.iter_mut().find(|b| {
-            b.free.holds(&need)
-                && (patient || !b.later)
-                && job.allows(&b.pool.rig, &b.pool.zone, b.pool.spot)
-                && zone_fits(&b.pool.zone)
-        });
-        if let Some(bin) = fit {
-            bin.free -= need;
-            return Some(bin.pool.zone.clone());
+        // What did not take one task of a job does not take the next.
+        while let Some(bin) = plan.bins.get_mut(plan.next) {
+            if bin.free.holds(&need)
+                && (patient || !bin.later)
+                && job.allows(&bin.pool.rig, &bin.pool.zone, bin.pool.spot)
+                && zone_fits(&bin.pool.zone)
+            {
+                bin.free -= need;
+                return Some(bin.pool.zone.clone());
+            }
+            plan.next += 1;
         }
-        if bins.iter().filter(|b| b.new).count() >= self.knobs.rent_per_round {
+        if plan.rented >= self.knobs.rent_per_round {
             return None;
         }
-        let (pool, room) = self.choose_pool(job, bins, now, zone_fits)?;
+        let (pool, room) = self.choose_pool(job, plan, now, zone_fits)?;
         let zone = pool.zone.clone();
-        bins.push(Bin {
+        plan.rented += 1;
+        *plan.in_zone.entry(zone.clone()).or_default() += 1;
+        plan.bins.push(Bin {
             pool,
             free: room - need,
             new: true,
@@ -667,7 +702,7 @@
     fn choose_pool(
         &self,
         job: &Job,
-        bins: &[Bin],
+        plan: &Plan,
         now: Micros,
         zone_fits: impl Fn(&str) -> bool,
     ) -> Option<(Pool, Room)> {
@@ -696,11 +731,7 @@
                     } else {
                         flavor.price
                     };
-                    let there = self.machines.values().filter(|m| m.zone == *zone).count()
-                        + bins
-                            .iter()
-                            .filter(|b| b.new && b.pool.zone == *zone)
-                            .count();
+                    let there = plan.in_zone.get(zone).copied().unwrap_or(0);
                     let rank = (price / places as f64, there);
                     if best.as_ref().is_none_or(|(r, _, _)| rank < *r) {
                         best = Some((rank, pool, room));
--- a/src/store.rs
+++ b/src/store.rs
@@ -23,8 +23,6 @@
 pub const LEADER: &str = "r/leader";
 /// The last token, without a lease.
 pub const TERM: &str = "r/term";
-/// What is being rented and has not shown up yet.
-pub const RENTALS: &str = "r/rentals";
 /// The machine types.
 pub const FLAVORS: &str = "r/flavors";
 /// A key that never exists: reading it tells the current revision.
@@ -59,6 +57,11 @@
     format!("r/heard/{node}/{part}")
 }
 
+/// The key of a rental request, by its name.
+pub fn rental_key(charter: &str) -> String {
+    format!("r/rental/{charter}")
+}
+
 /// The key of the images that a machine has.
 pub fn images_key(machine: &MachineId) -> String {
     format!("r/images/{machine}")
@@ -168,8 +171,8 @@
     pub leader: Option<Versioned<LeaderRecord>>,
     /// The last token.
     pub term: u64,
-    /// Version and content of the rentals.
-    pub rentals: Option<Versioned<Vec<RentalRecord>>>,
+    /// Recent rental requests by their names.
+    pub rentals: BTreeMap<String, RentalRecord>,
     /// The machine types.
     pub flavors: Option<Versioned<Vec<Flavor>>>,
 }
@@ -220,6 +223,10 @@
                 .insert(MachineId(machine.to_owned()), parse(value)?);
             return Ok(None);
         }
+        if let Some(charter) = rest.strip_prefix("rental/") {
+            self.rentals.insert(charter.to_owned(), parse(value)?);
+            return Ok(None);
+        }
         if let Some(node) = rest.strip_prefix("heard/") {
             let node = node.split('/').next().unwrap_or_default();
             return Ok(Some(Seen::Heard(node.to_owned(), parse(value)?)));
@@ -230,10 +237,6 @@
                 self.leader = Some(Versioned { value, version });
             }
             TERM => self.term = version,
-            RENTALS => {
-                let value = parse(value)?;
-                self.rentals = Some(Versioned { value, version });
-            }
             FLAVORS => {
                 let value = parse(value)?;
                 self.flavors = Some(Versioned { value, version });
@@ -264,6 +267,8 @@
             }
         } else if let Some(machine) = rest.strip_prefix("images/") {
             self.images.remove(&MachineId(machine.to_owned()));
+        } else if let Some(charter) = rest.strip_prefix("rental/") {
+            self.rentals.remove(charter);
         } else if key == LEADER && self.leader.as_ref().is_some_and(|l| l.version <= version) {
             self.leader = None;
         }
