--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -103,6 +103,7 @@
 impl Scheduler {
     /// What to rent and give back. `wall` is the time of day in microseconds.
     pub fn plan_fleet(&mut self, now: Micros, wall: u64) -> FleetPlan {
+        self.wall = wall;
         self.give_up_lost(now);
         self.give_up_for_cancels(wall);
         let reserve = self.reserve(wall);
@@ -553,7 +554,7 @@
             .values()
             .filter(|j| j.waiting() > 0 && j.next_try <= now + Micros::secs(2))
             .collect();
-        waiting.sort_by_key(|j| (std::cmp::Reverse(j.spec.priority), j.at, j.spec.id.clone()));
+        self.sort_by_turn(&mut waiting);
         waiting.into_iter().map(|j| j.spec.id.clone()).collect()
     }
 
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -144,6 +144,8 @@
     knobs: Knobs,
     token: u64,
     began: Micros,
+    /// The time of day, in microseconds, as of the last plan of the fleet.
+    wall: u64,
     rng: fastrand::Rng,
     teams: BTreeMap<String, TeamShare>,
     flavors: BTreeMap<String, Flavor>,
@@ -191,6 +193,7 @@
             knobs,
             token,
             began: now,
+            wall: 0,
             rng: fastrand::Rng::with_seed(seed),
             teams,
             flavors: BTreeMap::new(),
--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -594,6 +594,24 @@
 }
 
 impl Job {
+    /// When it should be complete, by the time of day; without a deadline when it came, so that the oldest go first.
+    pub fn due_at(&self) -> u64 {
+        let due = self.spec.due_s.map_or(0, |s| Micros::from_secs_f64(s).0);
+        self.at.saturating_add(due)
+    }
+
+    /// Its place among jobs of its priority at a time of day: the one due first goes first. One that is overdue by
+    /// half of its time gives way once, to what may still be in time, and keeps its new place.
+    pub fn turn(&self, wall: u64) -> u64 {
+        let due = self.due_at();
+        let allowed = due - self.at;
+        if wall > due.saturating_add(allowed / 2) {
+            due.saturating_add(allowed)
+        } else {
+            due
+        }
+    }
+
     /// Tasks that are neither finished nor possibly on a machine.
     pub fn waiting(&self) -> u32 {
         if self.end.is_some() || self.ending {
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -1,6 +1,7 @@
 //! The ordinary path: due jobs are offered to machines in id order, and the first that accepts takes the task.
 
 use super::*;
+use std::cmp::Reverse;
 
 /// Tasks of one job placed in one round, so that one huge job can't take the whole round.
 const TASKS_PER_JOB: usize = 512;
@@ -111,21 +112,23 @@
         Micros::from_secs_f64(spec.image_gb / rate) + self.knobs.report > *within
     }
 
-    /// Jobs to offer now: by priority, guarantees before borrowing, then age.
+    /// Sorts jobs by priority, guarantees before borrowing, then by deadline or age.
+    pub(super) fn sort_by_turn(&self, jobs: &mut [&Job]) {
+        let place = |j: &Job| {
+            let borrows = !self.guaranteed.contains(&j.spec.id);
+            (Reverse(j.spec.priority), borrows, j.turn(self.wall))
+        };
+        jobs.sort_by(|a, b| (place(a), &a.spec.id).cmp(&(place(b), &b.spec.id)));
+    }
+
+    /// Jobs to offer now, in their order.
     fn due_jobs(&self, now: Micros) -> Vec<JobId> {
         let mut due: Vec<&Job> = self
             .jobs
             .values()
             .filter(|j| j.next_try <= now && j.waiting() > 0)
             .collect();
-        due.sort_by_key(|j| {
-            (
-                std::cmp::Reverse(j.spec.priority),
-                !self.guaranteed.contains(&j.spec.id),
-                j.at,
-                j.spec.id.clone(),
-            )
-        });
+        self.sort_by_turn(&mut due);
         due.into_iter().map(|j| j.spec.id.clone()).collect()
     }
 
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 
+/// What a stopped task needs until it runs again elsewhere.
+const RESTART: Micros = Micros::secs(30);
 /// Stops ordered in one round.
 const STOPS_PER_ROUND: usize = 16;
 
@@ -161,10 +163,27 @@
         }
         let ran = p.running_since.map_or(Micros::ZERO, |t| now.since(t));
         let save = Micros::from_secs_f64(job.spec.save_slack());
-        Some(if save > Micros::ZERO {
+        let lost = if save > Micros::ZERO {
             save.min(ran)
         } else {
             ran
-        })
+        };
+        Some(lost + self.lateness(job, ran))
+    }
+
+    /// What it adds to the loss of a stopped task that its job would miss its deadline by it, or the time half as long
+    /// again: as much as the task takes in all.
+    fn lateness(&self, job: &Job, ran: Micros) -> Micros {
+        let Some(due_s) = job.spec.due_s else {
+            return Micros::ZERO;
+        };
+        let whole = Micros::from_secs_f64(job.spec.expect_s);
+        let left = whole.since(ran);
+        let breaks = [2, 3].into_iter().any(|halves| {
+            let due = job.at + Micros::from_secs_f64(due_s).scaled(halves, 2).0;
+            let spare = due.saturating_sub(self.wall);
+            spare >= left.0 && spare < (left + RESTART).0
+        });
+        if breaks { whole } else { Micros::ZERO }
     }
 }
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -1408,3 +1408,40 @@
     assert_eq!(t.workers["m-1"].running(), 2);
     assert!(t.s.plan_fleet(t.now, 0).give_back.is_empty());
 }
+
+// Guards against work with a deadline being stopped, or left waiting, though other work has time to spare.
+#[test]
+fn what_is_due_first_goes_first_and_is_stopped_last() {
+    let mut t = Story::new(0.0);
+    let due = |id: &str, due_s: f64| JobSpec {
+        due_s: Some(due_s),
+        spot: false,
+        ..spec(id, 1)
+    };
+    t.submit(due("j-1", 500.0));
+    t.submit(due("j-2", 100.0));
+    t.submit(due("j-3", 100.0));
+    t.worker("m-1", "a", false);
+    t.s.plan_fleet(t.now, Micros::secs(1).0);
+    t.wait(1);
+    t.beat("m-1");
+    t.beat("m-1");
+    let on = |t: &Story, id: &str| t.s.jobs[&JobId(id.into())].live;
+    assert_eq!((on(&t, "j-1"), on(&t, "j-2"), on(&t, "j-3")), (0, 1, 1));
+    // Now two with ample and with little time run, and a service takes the place of the one with ample time.
+    let mut t = Story::new(0.0);
+    t.submit(due("j-1", 80.0));
+    t.submit(due("j-2", 500.0));
+    t.worker("m-1", "a", false);
+    t.wait(1);
+    t.beat("m-1");
+    t.beat("m-1");
+    t.s.plan_fleet(t.now, Micros::secs(10).0);
+    t.submit(live("j-9"));
+    t.round();
+    let stops = t.ask("m-1");
+    assert!(
+        matches!(&stops[..], [Order::Stop { task, .. }] if task == "j-2/0"),
+        "{stops:?}"
+    );
+}
