Fold as many machines at a time as the number of replicas bears

Cause: one move every 12 s and one machine at a time leaves a fleet of 500 half-empty machines as it is; and the search for a machine to fold compared every machine with every other. Now a replica in a thousand may move each second, one machine in fifty replicas' worth may be folded at a time, and targets are found by the image they have, within a bound. A few replicas are moved as before.

--- a/src/scheduler/fold.rs
+++ b/src/scheduler/fold.rs
@@ -3,11 +3,18 @@
 
 use super::offers::zone_takes;
 use super::*;
+use std::collections::HashMap;
 
 /// Room must have been to spare for so long before a machine is folded.
 const SPARE_FOR: Micros = Micros::secs(30);
-/// Time between two moves, so that no short while sees many replicas down.
+/// Time between two moves of few replicas, so that no short while sees many of them down.
 const BETWEEN_MOVES: Micros = Micros::secs(12);
+/// A move takes a replica down for a second or two: of so many replicas one may move each second.
+const REPLICAS_PER_MOVE: u64 = 1_000;
+/// Of so many replicas one machine more may be folded at the same time.
+const REPLICAS_PER_FOLDING: usize = 50;
+/// Targets looked at in one plan.
+const LOOKS: usize = 20_000;
 /// After its stop a task is told as gone within half a second, and its start is written in far less.
 const HANDOVER: Micros = Micros::millis(600);
 
@@ -18,38 +25,70 @@
     spare_since: Option<Micros>,
     /// When a task was last moved.
     moved_at: Micros,
+    /// Replicas of services, as of the last plan.
+    replicas: usize,
+}
+
+impl Fold {
+    fn between_moves(&self) -> Micros {
+        let replicas = self.replicas.max(1) as u64;
+        BETWEEN_MOVES.min(Micros::secs(REPLICAS_PER_MOVE).scaled(1, replicas))
+    }
+}
+
+/// Machines with free room by the images that they have, and what is promised of it.
+struct Targets<'a> {
+    by_image: HashMap<&'a str, Vec<(&'a MachineId, &'a Machine)>>,
+    promised: HashMap<&'a MachineId, Room>,
+    looks: usize,
 }
 
 impl Scheduler {
-    /// Picks a machine to fold, or lets go of it when its room is needed after all.
+    /// Picks machines to fold, or lets go of them when their room is needed after all.
     pub(super) fn plan_fold(&mut self, reserve: Option<&(Rc<JobSpec>, usize)>, now: Micros) {
         let waiting = self.jobs.values().any(|j| j.waiting() > 0);
-        let current = self.machines.iter().find(|(_, m)| m.folding);
-        if let Some((id, m)) = current {
-            let id = id.clone();
-            let empty = m.is_empty();
-            if (waiting && !empty) || m.life != Life::Draining {
-                self.let_go(&id);
+        let services = self
+            .jobs
+            .values()
+            .filter(|j| j.spec.shape == Shape::Service);
+        self.fold.replicas = services.map(|j| j.live as usize).sum();
+        let folding: Vec<MachineId> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.folding)
+            .map(|(id, _)| id.clone())
+            .collect();
+        let mut under_way = 0;
+        for id in &folding {
+            let Some(m) = self.machines.get(id) else {
+                continue;
+            };
+            if (waiting && !m.is_empty()) || m.life != Life::Draining {
+                self.let_go(id);
+            } else {
+                under_way += 1;
             }
-            return;
         }
         if waiting || self.steady_since.is_none() {
             self.fold.spare_since = None;
             return;
         }
-        let Some(machine) = self.foldable(reserve) else {
-            self.fold.spare_since = None;
+        let most = 1 + self.fold.replicas / REPLICAS_PER_FOLDING;
+        if under_way >= most {
             return;
-        };
+        }
         let since = *self.fold.spare_since.get_or_insert(now);
-        if now.since(since) < SPARE_FOR || now.since(self.fold.moved_at) < BETWEEN_MOVES {
+        if now.since(since) < SPARE_FOR || now.since(self.fold.moved_at) < self.fold.between_moves()
+        {
             return;
         }
-        if let Some(m) = self.machines.get_mut(&machine) {
-            m.folding = true;
-            m.life = Life::Draining;
-            self.notes
-                .push(format!("event=machine_folding machine={machine}"));
+        for machine in self.foldable(reserve, most - under_way) {
+            if let Some(m) = self.machines.get_mut(&machine) {
+                m.folding = true;
+                m.life = Life::Draining;
+                self.notes
+                    .push(format!("event=machine_folding machine={machine}"));
+            }
         }
     }
 
@@ -62,66 +101,129 @@
         }
     }
 
-    /// The machine with the fewest services, the highest id among equals, if all it holds are services that run and
-    /// would find room elsewhere, the reserve untouched.
-    fn foldable(&self, reserve: Option<&(Rc<JobSpec>, usize)>) -> Option<MachineId> {
-        let mut best: Option<(usize, &MachineId)> = None;
-        for (id, m) in self.machines.iter().rev() {
-            if m.life != Life::Up || m.is_empty() || !m.extra.is_empty() {
+    /// The machines with the fewest services, the highest ids first among equals, if all that they hold are services
+    /// that run and would find room elsewhere, the reserve untouched.
+    fn foldable(&self, reserve: Option<&(Rc<JobSpec>, usize)>, most: usize) -> Vec<MachineId> {
+        let mut by_load: Vec<(&MachineId, &Machine)> = self
+            .machines
+            .iter()
+            .rev()
+            .filter(|(_, m)| m.life == Life::Up && !m.is_empty() && m.extra.is_empty())
+            .collect();
+        by_load.sort_by_key(|(_, m)| m.held.len());
+        let mut targets = self.targets();
+        let mut chosen: Vec<MachineId> = Vec::new();
+        // What is left after the reserve; counted once, as services are much of one size.
+        let mut spare: Option<usize> = None;
+        for (id, m) in by_load {
+            if chosen.len() >= most || targets.looks == 0 {
+                break;
+            }
+            let first = m.held.keys().next();
+            let Some(spec) = first.and_then(|t| spec_of(&self.jobs, &t.job)) else {
                 continue;
+            };
+            let left = *spare.get_or_insert_with(|| {
+                let keep = reserve.map_or(0, |(_, places)| *places);
+                self.open_places(&spec).saturating_sub(keep)
+            });
+            let own = m.free().count_of(&spec.need()).min(1_000);
+            let needed = m.held.len() + own;
+            if left < needed || targets.promised.contains_key(id) {
+                continue;
+            }
+            let mut found = Vec::new();
+            for task in m.held.keys() {
+                let Some((target, need)) = self.find_target(id, task, &mut targets) else {
+                    break;
+                };
+                *targets.promised.entry(target).or_default() += need;
+                found.push((target, need));
             }
-            if best.is_some_and(|(n, _)| n <= m.held.len()) {
+            if found.len() == m.held.len() {
+                spare = Some(left - needed);
+                chosen.push(id.clone());
                 continue;
             }
-            let movable = m.held.keys().all(|t| self.target(id, t).is_some());
-            if movable && self.leaves_reserve(id, m, reserve) {
-                best = Some((m.held.len(), id));
+            for (target, need) in found {
+                if let Some(room) = targets.promised.get_mut(target) {
+                    *room -= need;
+                }
             }
         }
-        best.map(|(_, id)| id.clone())
+        chosen
     }
 
-    /// Whether without the machine, and with its tasks elsewhere, there are as many places as before the reserve needs.
-    fn leaves_reserve(
+    /// Free places for such tasks on machines that take offers.
+    fn open_places(&self, spec: &JobSpec) -> usize {
+        self.machines
+            .values()
+            .filter(|m| m.takes_offers() && spec.allows(&m.rig, &m.zone, m.spot))
+            .map(|m| m.free().count_of(&spec.need()).min(1_000))
+            .sum()
+    }
+
+    fn targets(&self) -> Targets<'_> {
+        let mut by_image: HashMap<&str, Vec<(&MachineId, &Machine)>> = HashMap::new();
+        let with_room = |m: &Machine| m.takes_offers() && m.free().cores > 0;
+        for (id, m) in self.machines.iter().filter(|(_, m)| with_room(m)) {
+            for (image, _) in &m.images {
+                by_image.entry(image).or_default().push((id, m));
+            }
+        }
+        Targets {
+            by_image,
+            promised: HashMap::new(),
+            looks: LOOKS,
+        }
+    }
+
+    /// The first machine that would take the task without a fetch, and what the task needs.
+    fn find_target<'a>(
         &self,
-        id: &MachineId,
-        m: &Machine,
-        reserve: Option<&(Rc<JobSpec>, usize)>,
-    ) -> bool {
-        let keep = reserve.map_or(0, |(_, places)| *places);
-        let first = m.held.keys().next();
-        let Some(spec) = first.and_then(|t| spec_of(&self.jobs, &t.job)) else {
-            return false;
-        };
-        let elsewhere: usize = self
-            .machines
-            .iter()
-            .filter(|(other, o)| *other != id && o.takes_offers())
-            .filter(|(_, o)| spec.allows(&o.rig, &o.zone, o.spot))
-            .map(|(_, o)| o.free().count_of(&spec.need()).min(1_000))
-            .sum();
-        elsewhere >= m.held.len() + keep
+        from: &MachineId,
+        task: &TaskId,
+        targets: &mut Targets<'a>,
+    ) -> Option<(&'a MachineId, Room)> {
+        let job = self.movable(task)?;
+        let left = self.machines.get(from)?.zone.as_str();
+        let need = job.spec.need();
+        for (id, m) in targets.by_image.get(job.spec.image.as_str())? {
+            targets.looks = targets.looks.checked_sub(1)?;
+            let promised = targets.promised.get(id).copied().unwrap_or_default();
+            if *id != from && self.would_take(job, id, m, &(need + promised), left) {
+                return Some((*id, need));
+            }
+        }
+        None
     }
 
-    /// The machine that would accept the task now if it were waiting, and starts it without a fetch.
-    fn target(&self, from: &MachineId, task: &TaskId) -> Option<&MachineId> {
+    /// The job of a task that may be moved: a replica that runs.
+    fn movable(&self, task: &TaskId) -> Option<&Job> {
         let job = self.jobs.get(&task.job)?;
-        let spec = &job.spec;
         let p = job.placement(task.index)?;
         let runs = p.seen == Some(TaskState::Running) && p.stopping.is_none() && p.committed;
-        if spec.shape != Shape::Service || !runs || job.ending {
-            return None;
-        }
-        let need = spec.need();
+        (job.spec.shape == Shape::Service && runs && !job.ending).then_some(job)
+    }
+
+    /// Whether a machine would take a task of the job, which leaves another zone, in so much room and without a fetch.
+    fn would_take(&self, job: &Job, id: &MachineId, m: &Machine, room: &Room, left: &str) -> bool {
+        m.takes_offers()
+            && m.free().holds(room)
+            && m.has_image(&job.spec.image)
+            && job.allows(&m.rig, &m.zone, m.spot)
+            && !job.failed_on.contains(id)
+            && zone_takes(job, &m.zone, 0, Some(left))
+    }
+
+    /// The machine that would accept the task now if it were waiting, and starts it without a fetch.
+    fn target(&self, from: &MachineId, task: &TaskId) -> Option<&MachineId> {
+        let job = self.movable(task)?;
+        let need = job.spec.need();
         let left = self.machines.get(from)?.zone.as_str();
-        self.machines.iter().find_map(|(id, m)| {
-            let fits = id != from
-                && m.takes_offers()
-                && m.free().holds(&need)
-                && m.has_image(&spec.image)
-                && job.allows(&m.rig, &m.zone, m.spot)
-                && !job.failed_on.contains(id)
-                && zone_takes(job, &m.zone, 0, Some(left));
+        let mut machines = self.machines.iter();
+        machines.find_map(|(id, m)| {
+            let fits = id != from && self.would_take(job, id, m, &need, left);
             fits.then_some(id)
         })
     }
@@ -130,7 +232,7 @@
     /// next just when the task's exit is known, so that the replica is down as shortly as can be.
     pub(super) fn task_to_move(&mut self, from: &MachineId, now: Micros) -> Option<TaskId> {
         let m = self.machines.get(from)?;
-        if !m.folding || now.since(self.fold.moved_at) < BETWEEN_MOVES {
+        if !m.folding || now.since(self.fold.moved_at) < self.fold.between_moves() {
             return None;
         }
         let task = m.held.keys().next()?.clone();
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -1445,3 +1445,63 @@
         "{stops:?}"
     );
 }
+
+// Guards against folding that does not keep pace with a large fleet, and against one that takes many replicas down at
+// once.
+#[test]
+fn a_large_scattered_service_is_folded_faster_but_never_much_of_it_at_once() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.reserve = Some(0);
+    t.s.set_controllers(&[], t.now);
+    let fillers: Vec<JobId> = (0..400)
+        .map(|i| t.submit(live(&format!("j-{i:04}"))))
+        .collect();
+    for i in 0..200 {
+        t.worker(&format!("m-{i:03}"), "a", false);
+    }
+    t.wait(1);
+    t.round();
+    t.beat_all();
+    t.wait(1);
+    t.beat_all();
+    t.beat_all();
+    assert_eq!(t.running(), 400);
+    let end = End {
+        how: Final::Aborted,
+        at: u64::MAX,
+        done: 0,
+    };
+    fillers
+        .iter()
+        .step_by(2)
+        .for_each(|id| t.s.end_job(id, end));
+    t.beat_all();
+    t.beat_all();
+    let mut returned = 0;
+    for second in 0..90 {
+        t.wait(1);
+        let plan = t.s.plan_fleet(t.now, u64::MAX);
+        returned += plan.give_back.len();
+        t.s.returned(&plan.give_back, t.now);
+        plan.give_back.iter().for_each(|m| {
+            t.workers.remove(&m.0);
+        });
+        let names: Vec<String> = t.workers.keys().cloned().collect();
+        for (i, name) in names.iter().enumerate() {
+            if i % 3 == second % 3
+                || t.workers[name]
+                    .tasks
+                    .values()
+                    .any(|s| s.0 == TaskState::Exited)
+            {
+                t.beat(name);
+            }
+        }
+        let down = 200 - t.running();
+        assert!(down <= 2, "{down} of 200 replicas down at once");
+    }
+    assert!(
+        (5..50).contains(&returned),
+        "{returned} machines returned in 90 s"
+    );
+}
