--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -74,6 +74,8 @@
 pub(super) struct Fleet {
     /// Machines given up for their silence lately: when, zone and whether spot.
     given_up: VecDeque<(Micros, String, bool)>,
+    /// Whether the machine list was read in this term.
+    listed: bool,
     /// Asked for, not answered.
     renting: Vec<Want>,
     /// Pools that had none, and until when they are left alone.
@@ -220,6 +222,7 @@
     /// Takes in the machine list, which lags.
     pub fn on_list(&mut self, list: &[Listed], now: Micros) {
         let lag = self.knobs.list_lag;
+        self.fleet.listed = true;
         let mut listed = HashSet::new();
         for entry in list {
             listed.insert(&entry.machine);
@@ -235,6 +238,7 @@
                 m.since = now.since(Micros::from_secs_f64(entry.age_s));
             }
             m.listed_at.get_or_insert(now);
+            m.listed_running = entry.status == ListedStatus::Running;
             if entry.status == ListedStatus::Failed && !m.lost {
                 m.lost = true;
             }
@@ -489,9 +493,8 @@
     /// What to rent for waiting tasks that neither free nor coming room will hold, and for the reserve.
     fn plan_rentals(&mut self, reserve: Option<(Rc<JobSpec>, usize)>, now: Micros) -> Vec<Want> {
         // A new leader first hears what there is.
-        if now.since(self.began) < self.knobs.report.scaled(5, 4) + Micros::secs(1)
-            && !self.machines.is_empty()
-        {
+        let hears_for = self.knobs.report.scaled(5, 4) + Micros::secs(1);
+        if now.since(self.began) < hears_for && !self.has_heard_all() {
             return Vec::new();
         }
         let mut plan = self.begin_plan(now);
@@ -547,6 +550,13 @@
         rent
     }
 
+    /// Whether the machine list was read, and every machine that must be up by it, or by its tasks, has reported.
+    fn has_heard_all(&self) -> bool {
+        let is_up = |m: &Machine| m.listed_running || !m.held.is_empty();
+        let mut machines = self.machines.values();
+        self.fleet.listed && machines.all(|m| m.life != Life::Booting || !is_up(m))
+    }
+
     /// Jobs with waiting tasks in the order in which they are offered, those that back off left out.
     fn waiting_jobs(&self, now: Micros) -> Vec<JobId> {
         let mut waiting: Vec<&Job> = self
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -664,6 +664,7 @@
         heard_at: now,
         notice: None,
         listed_at: None,
+        listed_running: false,
         lost: false,
         images: Vec::new(),
         failed_jobs: BTreeSet::new(),
--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -735,6 +735,8 @@
     pub notice: Option<Micros>,
     /// When the machine list first had it.
     pub listed_at: Option<Micros>,
+    /// Whether the machine list has it as up.
+    pub listed_running: bool,
     /// Whether the cloud says that it is gone or has failed.
     pub lost: bool,
     /// Cached images with their sizes, the least recently used first.
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -172,6 +172,7 @@
         let now = Micros::secs(1_000);
         let mut s = Scheduler::new(knobs(), teams, TOKEN, 1, now);
         s.set_flavors(&[flavor()]);
+        s.on_list(&[], now);
         Story {
             s,
             now,
@@ -1505,3 +1506,35 @@
         "{returned} machines returned in 90 s"
     );
 }
+
+// Guards against a new leader that rents anew what runs already, and against one that waits though it heard all.
+#[test]
+fn a_new_leader_rents_once_it_has_heard_what_is_up() {
+    let mut t = Story::new(0.0);
+    t.take_over(TOKEN + 1);
+    let up = Listed {
+        machine: MachineId("m-1".into()),
+        rig: "rig".into(),
+        zone: "a".into(),
+        spot: false,
+        status: ListedStatus::Running,
+        age_s: 100.0,
+    };
+    t.submit(spec("j-1", 8));
+    assert_eq!(
+        t.s.plan_fleet(t.now, 0).rent,
+        vec![],
+        "nothing is known yet"
+    );
+    t.s.on_list(&[up], t.now);
+    assert_eq!(
+        t.s.plan_fleet(t.now, 0).rent,
+        vec![],
+        "one is up and not heard"
+    );
+    t.worker("m-1", "a", false);
+    t.wait(1);
+    t.beat("m-1");
+    let rented: usize = t.s.plan_fleet(t.now, 0).rent.iter().map(|w| w.count).sum();
+    assert_eq!(rented, 3);
+}
