A ramp rents half as many machines again as wait

Boots differ by more than double, so of more machines those needed are up sooner; the others serve what comes next or go back after the least charge. Ruled out: requests (soon all go out at once), places (all machines up were taken within 3 s). Only while more than a quarter of a class that can't wait for a boot is waiting.

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -18,6 +18,8 @@
 const GIVEN_UP_COUNTS: Micros = Micros::secs(30);
 /// How long a machine behind a cut is waited for; the machine list tells sooner if it died.
 const CUT_LASTS: Micros = Micros::secs(180);
+/// Fewer waiting tasks than this are no ramp.
+const RAMP_FROM: usize = 16;
 /// How far back arrivals are counted to size the reserve.
 const ARRIVALS_OVER: Micros = Micros::secs(120);
 
@@ -500,6 +502,9 @@
         let mut plan = self.begin_plan(now);
         let mut planned_use: BTreeMap<String, Room> = BTreeMap::new();
         let mut left = TASKS_PER_ROUND;
+        if let Some((spec, _)) = &reserve {
+            self.plan_places(spec, self.ramp_extra(), &mut plan, now);
+        }
         for id in self.waiting_jobs(now) {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
@@ -522,17 +527,7 @@
             }
         }
         if let Some((spec, places)) = reserve {
-            let job = reserve_job(spec.clone());
-            let have = self.free_places(&spec);
-            plan.next = 0;
-            for _ in have..places {
-                if self
-                    .plan_task(&job, &BTreeMap::new(), &mut plan, now)
-                    .is_none()
-                {
-                    break;
-                }
-            }
+            self.plan_places(&spec, places, &mut plan, now);
         }
         let mut wants: BTreeMap<Pool, usize> = BTreeMap::new();
         for bin in plan.bins.into_iter().filter(|b| b.new) {
@@ -550,6 +545,35 @@
         rent
     }
 
+    /// Sees to it that there are, or come, so many places for such tasks.
+    fn plan_places(&self, spec: &Rc<JobSpec>, places: usize, plan: &mut Plan, now: Micros) {
+        let job = reserve_job(spec.clone());
+        let nowhere = BTreeMap::new();
+        plan.next = 0;
+        for _ in self.free_places(spec)..places {
+            if self.plan_task(&job, &nowhere, plan, now).is_none() {
+                return;
+            }
+        }
+    }
+
+    /// Places to rent beyond what waits, while much of the classes that can't wait for a boot does: boots differ by
+    /// more than double, so that of more machines those needed are up sooner.
+    fn ramp_extra(&self) -> usize {
+        let (mut waiting, mut running) = (0, 0);
+        for job in self.jobs.values() {
+            if self.knobs.wait_within.contains_key(&job.spec.class) && !job.spec.spot {
+                waiting += job.waiting() as usize;
+                running += job.live as usize;
+            }
+        }
+        if waiting > RAMP_FROM.max(running / 4) {
+            waiting / 2
+        } else {
+            0
+        }
+    }
+
     /// Whether the machine list was read, and every machine that must be up by it, or by its tasks, has reported.
     fn has_heard_all(&self) -> bool {
         let is_up = |m: &Machine| m.listed_running || !m.held.is_empty();
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -1538,3 +1538,22 @@
     let rented: usize = t.s.plan_fleet(t.now, 0).rent.iter().map(|w| w.count).sum();
     assert_eq!(rented, 3);
 }
+
+// Guards against a large start that waits for the slowest of just as many boots as it needs.
+#[test]
+fn a_ramp_rents_more_machines_than_wait_and_a_small_job_does_not() {
+    let rented = |tasks: u32| {
+        let mut t = Story::new(0.0);
+        t.s.knobs.reserve = Some(0);
+        t.s.knobs.rent_per_round = 1_000;
+        let big = JobSpec {
+            tasks,
+            ..live("j-1")
+        };
+        t.submit(big);
+        let rent = t.s.plan_fleet(t.now, 0).rent;
+        rent.iter().map(|w| w.count).sum::<usize>()
+    };
+    assert_eq!(rented(8), 4);
+    assert_eq!(rented(100), 75);
+}
