--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -18,6 +18,8 @@
 const GIVEN_UP_COUNTS: Micros = Micros::secs(30);
 /// How long a machine behind a cut is waited for; the machine list tells sooner if it died.
 const CUT_LASTS: Micros = Micros::secs(180);
+/// A machine whose report is late by this is out of touch.
+const OUT_OF_TOUCH: Micros = Micros::secs(1);
 /// Fewer waiting tasks than this are no ramp.
 const RAMP_FROM: usize = 16;
 /// How far back arrivals are counted to size the reserve.
@@ -108,6 +110,7 @@
     /// What to rent and give back. `wall` is the time of day in microseconds.
     pub fn plan_fleet(&mut self, now: Micros, wall: u64) -> FleetPlan {
         self.wall = wall;
+        self.lose_touch(now);
         self.give_up_lost(now);
         self.give_up_for_cancels(wall);
         let reserve = self.reserve(wall);
@@ -255,6 +258,29 @@
         }
     }
 
+    /// Machines whose reports do not get here take no offers, and what was not sent to them yet goes elsewhere.
+    ///
+    /// Guards against tasks that wait behind a cut, on machines that only another controller hears, while others have
+    /// room.
+    fn lose_touch(&mut self, now: Micros) {
+        let limit = self.knobs.report.scaled(5, 4) + OUT_OF_TOUCH;
+        let mut waiting = Vec::new();
+        for m in self.machines.values_mut() {
+            if m.in_touch && now.since(m.reported_at) > limit {
+                m.in_touch = false;
+                waiting.extend(m.held.keys().cloned());
+            }
+        }
+        for task in waiting {
+            let job = self.jobs.get(&task.job);
+            let p = job.and_then(|j| j.placement(task.index));
+            if p.is_some_and(|p| !p.inherited && p.sent.is_none()) {
+                self.release(&task.job, task.index);
+                self.requeue(&task.job, now);
+            }
+        }
+    }
+
     /// Machines that are lost, silent or stuck are given back, as only then their tasks may run elsewhere.
     fn give_up_lost(&mut self, now: Micros) {
         let mut give_up: Vec<(MachineId, &str)> = Vec::new();
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -669,6 +669,8 @@
         images: Vec::new(),
         failed_jobs: BTreeSet::new(),
         idle_since: None,
+        reported_at: now,
+        in_touch: false,
         folding: false,
         via: String::new(),
         rented_now: false,
--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -745,6 +745,10 @@
     pub failed_jobs: BTreeSet<JobId>,
     /// Since when nothing is on it.
     pub idle_since: Option<Micros>,
+    /// When its newest report came.
+    pub reported_at: Micros,
+    /// Whether its reports get here, so that orders get there; not only another controller's word that it is alive.
+    pub in_touch: bool,
     /// Whether its services are being moved to machines that have room, so that it can go back.
     pub folding: bool,
     /// The controller that passed its newest report on; empty: the leader itself.
@@ -809,7 +813,11 @@
 
     /// Whether it may be offered tasks, room aside.
     pub fn takes_offers(&self) -> bool {
-        self.life == Life::Up && self.notice.is_none() && !self.lost && !self.is_doubtful()
+        self.life == Life::Up
+            && self.notice.is_none()
+            && !self.lost
+            && self.in_touch
+            && !self.is_doubtful()
     }
 
     /// Whether its reports arrive but our answers seem not to reach it. One lost answer says nothing yet.
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -47,6 +47,8 @@
             return Heard::default();
         };
         m.newest = Some(at);
+        m.reported_at = now;
+        m.in_touch = true;
         m.asked.clear();
         if m.via != via {
             m.via = via.to_owned();
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -1583,3 +1583,30 @@
         assert!(given.is_empty(), "{given:?} after {second} s");
     }
 }
+
+// Guards against tasks that wait for the end of a cut on machines beyond it, while machines on this side have room.
+#[test]
+fn what_was_not_sent_to_a_machine_out_of_touch_goes_elsewhere() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    t.worker("m-1", "b", false);
+    t.worker("m-2", "a", false);
+    t.submit(spec("j-1", 2));
+    t.round();
+    assert_eq!(t.free_of("m-1"), 0);
+    for _ in 0..3 {
+        t.wait(2);
+        t.s.on_heard("n-2", &[MachineId("m-1".into())], t.now);
+        t.beat("m-2");
+        assert!(t.s.plan_fleet(t.now, 0).give_back.is_empty());
+    }
+    t.round();
+    t.beat("m-2");
+    assert_eq!(t.workers["m-2"].running(), 2);
+    // It takes offers again once it reports here, and what runs there is left alone.
+    t.submit(spec("j-2", 2));
+    t.beat("m-1");
+    t.wait(1);
+    t.beat("m-1");
+    assert_eq!(t.workers["m-1"].running(), 2);
+}
