Offers go only where there is room, stops are looked for only where there are some

Cause: with more than sixteen due jobs and 1,470 machines each job was offered to a sample of all machines, most of them full, so that it missed room and images; and each task that might stop another looked at every machine. Now a round lists the machines with room for the smallest due task once, samples are drawn from those that fit, and machines with something to stop are listed once, within a bound. A story counts the work of a round of 1,500 machines.

--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -1,5 +1,6 @@
 //! The ordinary path: due jobs are offered to machines in id order, and the first that accepts takes the task.
 
+use super::preempt::MakeRoom;
 use super::*;
 use std::cmp::Reverse;
 
@@ -21,28 +22,26 @@
         if due.is_empty() {
             return;
         }
-        let mut machines = self.candidates();
-        let mut coming = self.coming_room(now);
+        let mut machines = self.candidates(&due);
+        let mut room = MakeRoom::new(self.coming_room(now));
         let sample = self.sample_size(due.len(), machines.len());
+        let everyone: Vec<usize> = (0..machines.len()).collect();
         for id in &due {
-            let order = if sample < machines.len() {
-                self.sample(&machines, sample)
-            } else {
-                (0..machines.len()).collect()
-            };
+            let drawn = (sample < machines.len()).then(|| self.sample(id, &machines, sample));
+            let order = drawn.as_deref().unwrap_or(&everyone);
             if spec_of(&self.jobs, id).is_some_and(|s| s.is_gang()) {
-                self.offer_whole(id, &mut machines, &order, now);
+                self.offer_whole(id, &mut machines, order, now);
                 self.delay(id, now);
                 continue;
             }
-            self.offer(id, &mut machines, &order, true, now);
+            self.offer(id, &mut machines, order, true, now);
             // A task that would wait too long for its image on a free machine rather takes the place of another on
             // a machine that has it.
             if self.fetch_is_too_slow(id) {
-                self.preempt_for(id, true, &mut coming, now);
+                self.preempt_for(id, true, &mut room, now);
             }
-            self.offer(id, &mut machines, &order, false, now);
-            self.preempt_for(id, false, &mut coming, now);
+            self.offer(id, &mut machines, order, false, now);
+            self.preempt_for(id, false, &mut room, now);
             self.delay(id, now);
         }
     }
@@ -132,11 +131,17 @@
         due.into_iter().map(|j| j.spec.id.clone()).collect()
     }
 
-    /// Machines that take offers, in id order.
-    fn candidates(&self) -> Vec<Candidate> {
+    /// Machines that take offers and have room for the smallest of these jobs' tasks, in id order: the others need not
+    /// be asked.
+    fn candidates(&self, due: &[JobId]) -> Vec<Candidate> {
+        let needs = due.iter().filter_map(|id| self.jobs.get(id));
+        let needs = needs.map(|job| job.spec.need());
+        let Some(smallest) = needs.reduce(|a, b| a.least(&b)) else {
+            return Vec::new();
+        };
         self.machines
             .iter()
-            .filter(|(_, m)| m.takes_offers())
+            .filter(|(_, m)| m.takes_offers() && m.free().holds(&smallest))
             .map(|(id, m)| Candidate {
                 id: id.clone(),
                 free: m.free(),
@@ -154,19 +159,16 @@
         }
     }
 
-    /// A random sample of the machines that have room, in id order.
-    fn sample(&mut self, machines: &[Candidate], size: usize) -> Vec<usize> {
-        let mut all: Vec<usize> = (0..machines.len())
-            .filter(|i| machines[*i].free.cores > 0)
-            .collect();
-        let size = size.min(all.len());
-        for i in 0..size {
-            let j = self.rng.usize(i..all.len());
-            all.swap(i, j);
-        }
-        all.truncate(size);
-        all.sort_unstable();
-        all
+    /// A random sample of the machines that have room for a task of the job, in id order.
+    ///
+    /// Guards against a sample that misses the few machines that fit.
+    fn sample(&mut self, id: &JobId, machines: &[Candidate], size: usize) -> Vec<usize> {
+        let need = self.jobs.get(id).map(|job| job.spec.need());
+        let fits = |free: &Room| need.is_some_and(|need| free.holds(&need));
+        let open = machines.iter().enumerate().filter(|(_, m)| fits(&m.free));
+        let mut drawn = self.rng.choose_multiple(open.map(|(i, _)| i), size);
+        drawn.sort_unstable();
+        drawn
     }
 
     /// Offers a job's waiting tasks to the machines that have its image, are fetching it or were cleared for it, or to
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -4,9 +4,26 @@
 
 /// What a stopped task needs until it runs again elsewhere.
 const RESTART: Micros = Micros::secs(30);
-/// Stops ordered in one round.
+/// Stops ordered for one job in one round.
 const STOPS_PER_ROUND: usize = 16;
 
+/// What a round knows of the room that can be made.
+pub(super) struct MakeRoom {
+    /// Room that will be free by machine: what is being stopped there, less what was promised of it.
+    coming: BTreeMap<MachineId, Room>,
+    /// Machines that hold something that may be stopped for some job; looked up when first needed.
+    stoppable: Option<Vec<MachineId>>,
+}
+
+impl MakeRoom {
+    pub(super) fn new(coming: BTreeMap<MachineId, Room>) -> MakeRoom {
+        MakeRoom {
+            coming,
+            stoppable: None,
+        }
+    }
+}
+
 impl Scheduler {
     /// Room that will be free by machine: what is being stopped there, less what was promised of it.
     pub(super) fn coming_room(&mut self, now: Micros) -> BTreeMap<MachineId, Room> {
@@ -29,7 +46,7 @@
         &mut self,
         id: &JobId,
         with_image: bool,
-        coming: &mut BTreeMap<MachineId, Room>,
+        room: &mut MakeRoom,
         now: Micros,
     ) {
         let Some(job) = self.jobs.get(id) else { return };
@@ -39,21 +56,24 @@
             return;
         }
         let mut planned = spec.need().times(job.claims.len());
+        if open > 0 && room.stoppable.is_none() {
+            room.stoppable = Some(self.stoppable(&room.coming));
+        }
         for _ in 0..open.min(STOPS_PER_ROUND) {
             planned += spec.need();
             if !self.within_limit(&spec.team, &planned) {
                 return;
             }
-            let Some((machine, victims)) = self.room_for(id, &spec, with_image, coming, now) else {
+            let Some((machine, victims)) = self.room_for(id, &spec, with_image, room, now) else {
                 return;
             };
-            let room = coming.entry(machine.clone()).or_default();
+            let coming = room.coming.entry(machine.clone()).or_default();
             for task in &victims {
                 if let Some(v) = self.jobs.get(&task.job) {
-                    *room += v.spec.need();
+                    *coming += v.spec.need();
                 }
             }
-            *room -= spec.need();
+            *coming -= spec.need();
             let save = victims
                 .iter()
                 .filter_map(|t| spec_of(&self.jobs, &t.job))
@@ -86,18 +106,39 @@
         ));
     }
 
+    /// Machines with tasks that may be stopped for one job or another, or with room coming.
+    fn stoppable(&self, coming: &BTreeMap<MachineId, Room>) -> Vec<MachineId> {
+        let may_be = |task: &TaskId| {
+            let job = self.jobs.get(&task.job);
+            job.is_some_and(|j| j.spec.priority < Priority::Critical)
+        };
+        let worth = |(id, m): &(&MachineId, &Machine)| {
+            m.takes_offers() && (m.held.keys().any(may_be) || coming.contains_key(*id))
+        };
+        let machines = self.machines.iter().filter(worth);
+        machines.map(|(id, _)| id.clone()).collect()
+    }
+
     /// The machine where room for a task costs least, and the tasks to stop there.
     fn room_for(
-        &self,
+        &mut self,
         id: &JobId,
         spec: &JobSpec,
         with_image: bool,
-        coming: &BTreeMap<MachineId, Room>,
+        room: &MakeRoom,
         now: Micros,
     ) -> Option<(MachineId, Vec<TaskId>)> {
         let need = spec.need();
+        let coming = &room.coming;
         let mut best: Option<(Micros, MachineId, Vec<TaskId>)> = None;
-        for (machine, m) in &self.machines {
+        for machine in room.stoppable.iter().flatten() {
+            if self.offers_made >= self.knobs.offers_per_round.saturating_mul(2) {
+                break;
+            }
+            self.offers_made += 1;
+            let Some(m) = self.machines.get(machine) else {
+                continue;
+            };
             if !m.takes_offers()
                 || !m.total.holds(&need)
                 || !self.accepts(id, machine)
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -926,12 +926,14 @@
     }
     t.s.knobs.offers_per_round = 5_000;
     for i in 0..2_000 {
+        // There is room for them, but no machine of their zone.
         t.submit(JobSpec {
-            cores: 17.0,
+            zone: Some("b".into()),
             ..spec(&format!("j-{i:06}"), 3)
         });
     }
     t.s.round(t.now);
+    assert!(t.s.offers_made >= 8 * 2_000);
     // Two passes over at least eight machines for each job: far from the 800,000 of a full search.
     assert!(
         t.s.offers_made <= 2 * 8 * 2_000,
@@ -1610,3 +1612,59 @@
     t.beat("m-1");
     assert_eq!(t.workers["m-1"].running(), 2);
 }
+
+// Guards against rounds whose work follows the size of the fleet and of the queue, not what changed and what has room.
+#[test]
+fn a_round_of_a_large_fleet_is_bounded_and_costs_nothing_where_nothing_has_room() {
+    let mut t = Story::new(0.0);
+    for i in 0..1_500 {
+        t.worker(&format!("m-{i:06}"), ["a", "b"][i % 2], false);
+    }
+    for i in 0..1_200 {
+        t.submit(spec(&format!("j-{i:06}"), 3));
+    }
+    t.wait(1);
+    let before = t.revision;
+    t.s.round(t.now);
+    let most = 2 * t.s.knobs.offers_per_round;
+    assert!(t.s.offers_made <= most, "{} offers", t.s.offers_made);
+    t.commit();
+    // Twenty jobs' placements go into one transaction.
+    let batches = t.revision - before;
+    assert!(batches <= 1_200 / 20 + 1, "{batches} batches");
+    for _ in 0..8 {
+        t.wait(1);
+        t.round();
+    }
+    let placed: usize = t.s.machines.values().map(|m| m.held.len()).sum();
+    assert_eq!(placed, 3_000, "samples must not miss the machines that fit");
+    // Now everything is full and six hundred tasks wait: nobody is asked, nothing is written.
+    t.wait(1);
+    let before = t.revision;
+    t.round();
+    assert_eq!((t.s.offers_made, t.revision), (0, before));
+    // One machine has room again: only that is asked.
+    let first = MachineId("m-000000".into());
+    t.beat_all();
+    t.workers
+        .get_mut(&first.0)
+        .expect("a worker")
+        .exit_all(ExitCause::Done);
+    t.wait(1);
+    let report = t
+        .workers
+        .get_mut(&first.0)
+        .expect("a worker")
+        .report(&first.0);
+    t.s.on_report(&report, "n-1", t.now);
+    t.s.round(t.now);
+    assert!(t.s.offers_made <= 2 * 1_200, "{} offers", t.s.offers_made);
+    assert_eq!(t.s.machines[&first].held.len(), 2);
+    // What is kept for a placed task.
+    let kept: usize = t
+        .chunks
+        .values()
+        .map(|(record, _)| serde_json::to_string(record).expect("json").len())
+        .sum();
+    assert!(kept <= 3_000 * 40, "{kept} bytes");
+}
--- a/src/units.rs
+++ b/src/units.rs
@@ -108,6 +108,15 @@
             .min(times(self.ram, need.ram))
     }
 
+    /// The most that fits into both.
+    pub fn least(&self, other: &Room) -> Room {
+        Room {
+            cores: self.cores.min(other.cores),
+            cards: self.cards.min(other.cards),
+            ram: self.ram.min(other.ram),
+        }
+    }
+
     /// The same room `n` times.
     pub fn times(&self, n: usize) -> Room {
         let n = n as i64;
