Room is kept for what waits long, so that small jobs do not pass a large one for ever

Cause: by the ordinary path the first due job that fits takes what comes free; a task that needs more than is ever free at once, on a machine, in its zone or within its team's limit, waited for as long as smaller ones came (a story showed 240 s and more). After half a minute a machine is kept for it, or later work of its team is held back for two minutes; one machine in fifty at most, and not from work of a higher priority.

--- /dev/null
+++ b/src/scheduler/fair.rs
@@ -0,0 +1,143 @@
+//! Fairness towards what is hard to place: smaller work must not pass a large job for ever.
+//!
+//! The ordinary path gives room to the first due job that fits, so that a job whose tasks need more than is ever free at
+//! once, on a machine, in its zone or within its team's limit, could wait for as long as smaller ones come.
+
+use super::*;
+use std::cmp::Reverse;
+
+/// A job that waits so long without a task placed is kept room for.
+const LONG: Micros = Micros::secs(30);
+/// For so long smaller work of a team at its limit is held back; then what blocks it will not end soon.
+const TEAM_HELD: Micros = Micros::secs(120);
+/// Of so many machines one may be kept for a job.
+const MACHINES_PER_KEPT: usize = 50;
+
+/// What is kept for jobs that wait long.
+#[derive(Debug, Default)]
+pub(super) struct Fair {
+    /// Machines that take nothing else until the job was placed there.
+    machines: BTreeMap<MachineId, JobId>,
+    /// Teams whose later jobs are held back for one that waits for room within the limit.
+    teams: BTreeMap<String, JobId>,
+}
+
+impl Scheduler {
+    /// Looks anew at what is kept, and for whom.
+    pub(super) fn keep_for_long_waiting(&mut self, now: Micros) {
+        let waits = |j: &Job| {
+            let since = j.stuck_since?;
+            (j.waiting() > 0 && now.since(since) >= LONG).then(|| now.since(since))
+        };
+        let mut long: Vec<(&Job, Micros)> = self
+            .jobs
+            .values()
+            .filter_map(|j| Some((j, waits(j)?)))
+            .collect();
+        if long.is_empty() {
+            self.fair = Fair::default();
+            return;
+        }
+        long.sort_by_key(|(j, _)| (Reverse(j.spec.priority), j.turn(self.wall)));
+        let mut teams: BTreeMap<String, JobId> = BTreeMap::new();
+        let mut wanting: Vec<JobId> = Vec::new();
+        for (job, waited) in long {
+            let spec = &job.spec;
+            if self.within_limit(&spec.team, &spec.need()) {
+                wanting.push(spec.id.clone());
+            } else if waited < LONG + TEAM_HELD {
+                teams
+                    .entry(spec.team.clone())
+                    .or_insert_with(|| spec.id.clone());
+            }
+        }
+        self.fair.teams = teams;
+        let mut machines = std::mem::take(&mut self.fair.machines);
+        machines.retain(|id, job| {
+            let takes = self.machines.get(id).is_some_and(Machine::takes_offers);
+            takes && wanting.contains(job)
+        });
+        let most = self.machines.len() / MACHINES_PER_KEPT + 1;
+        for id in wanting {
+            let kept = machines.values().filter(|job| **job == id).count();
+            let gang = spec_of(&self.jobs, &id).is_some_and(|s| s.is_gang());
+            if (gang || machines.len() < most)
+                && kept < self.machines_to_keep(&id)
+                && let Some(machine) = self.machine_to_keep(&id, &machines)
+            {
+                machines.insert(machine, id);
+            }
+        }
+        self.fair.machines = machines;
+    }
+
+    /// How many machines a job needs kept: one for its next task; a gang as many as it has tasks.
+    fn machines_to_keep(&self, id: &JobId) -> usize {
+        let Some(job) = self.jobs.get(id) else {
+            return 0;
+        };
+        // What needs least of all gets its turn without help.
+        let waiting = self.jobs.values().filter(|j| j.waiting() > 0);
+        let least = waiting.map(|j| j.spec.need()).reduce(|a, b| a.least(&b));
+        match least {
+            _ if job.spec.is_gang() => job.spec.tasks as usize,
+            Some(least) if least != job.spec.need() => 1,
+            _ => 0,
+        }
+    }
+
+    /// The machine that could take a task of the job and has the least to wait for.
+    fn machine_to_keep(&self, id: &JobId, kept: &BTreeMap<MachineId, JobId>) -> Option<MachineId> {
+        let spec = spec_of(&self.jobs, id)?;
+        let need = spec.need();
+        let zone = kept.iter().find(|(_, job)| *job == id);
+        let zone = zone
+            .and_then(|(m, _)| self.machines.get(m))
+            .map(|m| &m.zone);
+        let fits = |(name, m): &(&MachineId, &Machine)| {
+            m.takes_offers()
+                && m.total.holds(&need)
+                && !kept.contains_key(*name)
+                && !(spec.together && zone.is_some_and(|z| *z != m.zone))
+                && self.accepts(id, name)
+        };
+        let machines = self.machines.iter().filter(fits);
+        let best = machines.min_by_key(|(_, m)| m.held.len());
+        best.map(|(name, _)| name.clone())
+    }
+
+    /// Whether a machine is kept for another job, which does not go before this one anyway.
+    pub(super) fn is_kept_from(&self, machine: &MachineId, id: &JobId) -> bool {
+        let Some(keeper) = self.fair.machines.get(machine) else {
+            return false;
+        };
+        keeper != id && !self.outranks(id, keeper)
+    }
+
+    /// Whether a job's team is held back for another of its jobs, which does not go after this one anyway.
+    pub(super) fn is_held_back(&self, id: &JobId) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let Some(keeper) = self.fair.teams.get(&job.spec.team) else {
+            return false;
+        };
+        keeper != id && !self.outranks(id, keeper)
+    }
+
+    fn outranks(&self, id: &JobId, other: &JobId) -> bool {
+        let rank = |id: &JobId| self.jobs.get(id).map(|j| j.spec.priority);
+        rank(id) > rank(other)
+    }
+
+    /// Notes whether a job that was offered got anything placed.
+    pub(super) fn note_offered(&mut self, id: &JobId, waiting_before: u32, now: Micros) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            if job.waiting() == 0 || job.waiting() < waiting_before {
+                job.stuck_since = None;
+            } else {
+                job.stuck_since.get_or_insert(now);
+            }
+        }
+    }
+}
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -829,5 +829,6 @@
         failures: 0,
         lost_on_spot: false,
         claims: Vec::new(),
+        stuck_since: None,
     }
 }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -3,6 +3,7 @@
 //! It has no I/O, no clock and no randomness of its own. What may be told to workers follows from what the
 //! controller reports as written: a start is given out only after its placement was, a `clear` only after the finish.
 
+mod fair;
 mod fleet;
 mod fold;
 mod model;
@@ -165,6 +166,7 @@
     gone_order: VecDeque<MachineId>,
     fleet: fleet::Fleet,
     fold: fold::Fold,
+    fair: fair::Fair,
     steady_since: Option<Micros>,
     doubtful_zones: BTreeMap<String, Micros>,
     two_silent_at: Option<Micros>,
@@ -210,6 +212,7 @@
             gone_order: VecDeque::new(),
             fleet: fleet::Fleet::default(),
             fold: fold::Fold::default(),
+            fair: fair::Fair::default(),
             steady_since: None,
             doubtful_zones: BTreeMap::new(),
             two_silent_at: None,
@@ -299,6 +302,7 @@
             failures: 0,
             lost_on_spot: false,
             claims: Vec::new(),
+            stuck_since: None,
         };
         let mut placed = Vec::new();
         for (number, record, version) in chunks {
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -22,15 +22,23 @@
         if due.is_empty() {
             return;
         }
+        self.keep_for_long_waiting(now);
         let mut machines = self.candidates(&due);
         let mut room = MakeRoom::new(self.coming_room(now));
         let sample = self.sample_size(due.len(), machines.len());
         let everyone: Vec<usize> = (0..machines.len()).collect();
         for id in &due {
+            let before = self.jobs.get(id).map_or(0, Job::waiting);
+            if self.is_held_back(id) {
+                self.note_offered(id, before, now);
+                self.delay(id, now);
+                continue;
+            }
             let drawn = (sample < machines.len()).then(|| self.sample(id, &machines, sample));
             let order = drawn.as_deref().unwrap_or(&everyone);
             if spec_of(&self.jobs, id).is_some_and(|s| s.is_gang()) {
                 self.offer_whole(id, &mut machines, order, now);
+                self.note_offered(id, before, now);
                 self.delay(id, now);
                 continue;
             }
@@ -42,6 +50,7 @@
             }
             self.offer(id, &mut machines, order, false, now);
             self.preempt_for(id, false, &mut room, now);
+            self.note_offered(id, before, now);
             self.delay(id, now);
         }
     }
@@ -199,7 +208,7 @@
         for &i in order {
             self.offers_made += 1;
             let candidate = &mut machines[i];
-            if !candidate.free.holds(&need) {
+            if !candidate.free.holds(&need) || self.is_kept_from(&candidate.id, id) {
                 continue;
             }
             let ready = self.machines[&candidate.id].has_image(&spec.image)
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -1668,3 +1668,110 @@
         .sum();
     assert!(kept <= 3_000 * 40, "{kept} bytes");
 }
+
+/// Lets small jobs come as fast as small tasks end, one task a second, and says after how many seconds a task of the
+/// large job runs.
+fn begins_among_small_ones(t: &mut Story, small: &JobSpec, large: JobSpec) -> u64 {
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    let mut next = 0;
+    let mut small_job = |t: &mut Story| {
+        next += 1;
+        let id = JobId(format!("j-{next:04}"));
+        t.submit(JobSpec {
+            id,
+            ..small.clone()
+        });
+    };
+    (0..12).for_each(|_| small_job(t));
+    t.wait(1);
+    t.beat_all();
+    t.beat_all();
+    let large = t.submit(large);
+    for second in 1..240 {
+        t.wait(1);
+        let name = t
+            .workers
+            .keys()
+            .nth(second as usize % t.workers.len())
+            .cloned();
+        let worker = t
+            .workers
+            .get_mut(&name.expect("a worker"))
+            .expect("a worker");
+        let one = worker
+            .tasks
+            .values_mut()
+            .find(|s| s.0 == TaskState::Running);
+        if let Some(one) = one {
+            *one = (TaskState::Exited, Some(ExitCause::Done));
+            small_job(t);
+        }
+        t.beat_all();
+        if t.s.jobs[&large].live > 0 {
+            return second;
+        }
+    }
+    240
+}
+
+// Guards against small jobs passing a large one for ever.
+#[test]
+fn a_large_job_begins_though_small_ones_keep_coming() {
+    let small = spec("j-0", 1);
+    let large = JobSpec {
+        cards: 2.0,
+        ..spec("j-9999", 1)
+    };
+    // It needs a whole machine, and machines are never empty.
+    let mut t = Story::new(0.0);
+    for i in 0..3 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    let waited = begins_among_small_ones(&mut t, &small, large.clone());
+    assert!(waited < 120, "{waited} s for a machine");
+    // Its team is always at its limit.
+    let mut t = Story::new(4.0);
+    for i in 0..6 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    let waited = begins_among_small_ones(&mut t, &small, large.clone());
+    assert!(waited < 120, "{waited} s for the team");
+    // Its tasks may only be in a zone whose machines are always taken.
+    let mut t = Story::new(0.0);
+    for i in 0..4 {
+        t.worker(&format!("m-{i}"), ["a", "b"][i % 2], false);
+    }
+    let bound = JobSpec {
+        zone: Some("b".into()),
+        ..large.clone()
+    };
+    let waited = begins_among_small_ones(&mut t, &small, bound);
+    assert!(waited < 120, "{waited} s for a zone");
+    // All its tasks must run together, in one zone.
+    let mut t = Story::new(0.0);
+    for i in 0..6 {
+        t.worker(&format!("m-{i}"), ["a", "b"][i % 2], false);
+    }
+    let gang = JobSpec {
+        shape: Shape::Gang,
+        tasks: 3,
+        together: true,
+        ..large
+    };
+    let waited = begins_among_small_ones(&mut t, &small, gang);
+    assert!(waited < 240, "{waited} s for a gang");
+    // A service at its share of one zone waits for the other, where small tasks of its own size come and go.
+    let mut t = Story::new(0.0);
+    for i in 0..4 {
+        t.worker(&format!("m-{i}"), ["a", "b"][i % 2], false);
+    }
+    let spread = JobSpec {
+        tasks: 4,
+        spread: true,
+        priority: Priority::Low,
+        class: "other".into(),
+        ..live("j-9999")
+    };
+    let waited = begins_among_small_ones(&mut t, &small, spread);
+    assert!(waited < 120, "{waited} s for its share");
+}
