--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -10,6 +10,7 @@
 /// A machine as a round sees it.
 struct Candidate {
     id: MachineId,
+    spot: bool,
     free: Room,
 }
 
@@ -42,13 +43,24 @@
                 self.delay(id, now);
                 continue;
             }
-            self.offer(id, &mut machines, order, true, now);
+            // Ordinary machines decline what may use spot ones, which are far cheaper, while these have room.
+            let kinds: &[Option<bool>] = match self.jobs.get(id) {
+                Some(job) if job.spec.spot && !job.lost_on_spot => &[Some(true), Some(false)],
+                _ => &[None],
+            };
+            let (cheap, last) = kinds.split_at(kinds.len() - 1);
+            for kind in cheap {
+                self.offer(id, &mut machines, order, (true, *kind), now);
+                self.offer(id, &mut machines, order, (false, *kind), now);
+            }
+            let kind = last.first().copied().flatten();
+            self.offer(id, &mut machines, order, (true, kind), now);
             // A task that would wait too long for its image on a free machine rather takes the place of another on
             // a machine that has it.
             if self.fetch_is_too_slow(id) {
                 self.preempt_for(id, true, &mut room, now);
             }
-            self.offer(id, &mut machines, order, false, now);
+            self.offer(id, &mut machines, order, (false, kind), now);
             self.preempt_for(id, false, &mut room, now);
             self.note_offered(id, before, now);
             self.delay(id, now);
@@ -96,7 +108,7 @@
         }
         for part in parts {
             let before: Vec<Room> = machines.iter().map(|m| m.free).collect();
-            self.offer(id, machines, &part, false, now);
+            self.offer(id, machines, &part, (false, None), now);
             if self.jobs.get(id).is_none_or(|job| job.waiting() == 0) {
                 return;
             }
@@ -153,6 +165,7 @@
             .filter(|(_, m)| m.takes_offers() && m.free().holds(&smallest))
             .map(|(id, m)| Candidate {
                 id: id.clone(),
+                spot: m.spot,
                 free: m.free(),
             })
             .collect()
@@ -181,13 +194,14 @@
     }
 
     /// Offers a job's waiting tasks to the machines that have its image, are fetching it or were cleared for it, or to
-    /// all of them; tasks that wait for a place being cleared are left out of the latter.
+    /// all of them, and of those to spot machines, to ordinary ones or to both; tasks that wait for a place being
+    /// cleared are left out of the latter.
     fn offer(
         &mut self,
         id: &JobId,
         machines: &mut [Candidate],
         order: &[usize],
-        with_image: bool,
+        (with_image, spot): (bool, Option<bool>),
         now: Micros,
     ) {
         let Some(job) = self.jobs.get_mut(id) else {
@@ -206,8 +220,11 @@
         let cleared: Vec<MachineId> = job.claims.iter().map(|(m, _)| m.clone()).collect();
         let mut next = 0;
         for &i in order {
-            self.offers_made += 1;
             let candidate = &mut machines[i];
+            if spot.is_some_and(|spot| spot != candidate.spot) {
+                continue;
+            }
+            self.offers_made += 1;
             if !candidate.free.holds(&need) || self.is_kept_from(&candidate.id, id) {
                 continue;
             }
