--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -829,6 +829,7 @@
         failures: 0,
         lost_on_spot: false,
         claims: Vec::new(),
+        moving_until: Micros::ZERO,
         stuck_since: None,
     }
 }
--- a/src/scheduler/fold.rs
+++ b/src/scheduler/fold.rs
@@ -8,11 +8,13 @@
 /// Room must have been to spare for so long before a machine is folded.
 const SPARE_FOR: Micros = Micros::secs(30);
 /// Time between two moves of few replicas, so that no short while sees many of them down.
-const BETWEEN_MOVES: Micros = Micros::secs(12);
+const BETWEEN_MOVES: Micros = Micros::secs(30);
 /// A move takes a replica down for a second or two: of so many replicas one may move each second.
 const REPLICAS_PER_MOVE: u64 = 1_000;
 /// Of so many replicas one machine more may be folded at the same time.
 const REPLICAS_PER_FOLDING: usize = 50;
+/// A moved task is at its new place within this.
+const ARRIVES_WITHIN: Micros = Micros::secs(5);
 /// Targets looked at in one plan.
 const LOOKS: usize = 20_000;
 /// After its stop a task is told as gone within half a second, and its start is written in far less.
@@ -46,7 +48,9 @@
 impl Scheduler {
     /// Picks machines to fold, or lets go of them when their room is needed after all.
     pub(super) fn plan_fold(&mut self, reserve: Option<&(Rc<JobSpec>, usize)>, now: Micros) {
-        let waiting = self.jobs.values().any(|j| j.waiting() > 0);
+        // A task that is being moved waits as well; it must not end the folding that it comes from.
+        let waits = |j: &Job| j.waiting() > 0 && j.moving_until <= now;
+        let waiting = self.jobs.values().any(waits);
         let services = self
             .jobs
             .values()
@@ -245,7 +249,8 @@
         self.fold.moved_at = now;
         let job = self.jobs.get_mut(&task.job)?;
         // The place is spoken for until the task has had time to come.
-        job.claims.push((target, now + Micros::secs(5)));
+        job.moving_until = now + ARRIVES_WITHIN;
+        job.claims.push((target, job.moving_until));
         job.placement_mut(task.index)?.stopping = Some(StopReason::Drained);
         self.details
             .push(format!("event=moving task={task} from={from}"));
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -302,6 +302,7 @@
             failures: 0,
             lost_on_spot: false,
             claims: Vec::new(),
+            moving_until: Micros::ZERO,
             stuck_since: None,
         };
         let mut placed = Vec::new();
--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -591,6 +591,8 @@
     pub lost_on_spot: bool,
     /// Machines where tasks are being stopped for waiting ones of this job, and until when that is believed.
     pub claims: Vec<(MachineId, Micros)>,
+    /// Until when a task of it that waits is one that was stopped only to be moved.
+    pub moving_until: Micros,
     /// Since when it is offered with nothing of it placed.
     pub stuck_since: Option<Micros>,
 }
