Moves go to the machine that reports soonest; a folding that is stuck is let go

Cause: of fifteen machines folding at a time each waited 19 s in the median, up to 200 s, until the one machine asked first happened to report at the right moment, so that 250 half-empty machines went down by half a move a second. Ruled out: the bound on moves (a second), want of targets. A move already is an exception to the order of ids; its target is now the one that reports soonest after the exit is known.

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -685,7 +685,7 @@
         bins
     }
 
-    fn is_stopping(&self, task: &TaskId) -> bool {
+    pub(super) fn is_stopping(&self, task: &TaskId) -> bool {
         let job = self.jobs.get(&task.job);
         let p = job.and_then(|j| j.placement(task.index));
         p.is_some_and(|p| p.stopping.is_some())
--- a/src/scheduler/fold.rs
+++ b/src/scheduler/fold.rs
@@ -12,7 +12,7 @@
 /// A move takes a replica down for a second or two: of so many replicas one may move each second.
 const REPLICAS_PER_MOVE: u64 = 1_000;
 /// Of so many replicas one machine more may be folded at the same time.
-const REPLICAS_PER_FOLDING: usize = 50;
+const REPLICAS_PER_FOLDING: usize = 20;
 /// A moved task is at its new place within this.
 const ARRIVES_WITHIN: Micros = Micros::secs(5);
 /// Targets looked at in one plan.
@@ -62,12 +62,17 @@
             .filter(|(_, m)| m.folding)
             .map(|(id, _)| id.clone())
             .collect();
+        let mut targets = self.targets();
         let mut under_way = 0;
-        for id in &folding {
+        let stuck: Vec<bool> = folding
+            .iter()
+            .map(|id| self.is_stuck(id, &mut targets))
+            .collect();
+        for (id, stuck) in folding.iter().zip(stuck) {
             let Some(m) = self.machines.get(id) else {
                 continue;
             };
-            if (waiting && !m.is_empty()) || m.life != Life::Draining {
+            if (waiting && !m.is_empty()) || stuck || m.life != Life::Draining {
                 self.let_go(id);
             } else {
                 under_way += 1;
@@ -96,6 +101,15 @@
         }
     }
 
+    /// Whether nothing that a machine still holds can be moved any more.
+    fn is_stuck(&self, id: &MachineId, targets: &mut Targets<'_>) -> bool {
+        let held = self.machines.get(id).map(|m| m.held.keys());
+        let mut held = held.into_iter().flatten().peekable();
+        let stopping = |t: &TaskId| self.is_stopping(t);
+        held.peek().is_some()
+            && !held.any(|t| stopping(t) || self.find_target(id, t, targets).is_some())
+    }
+
     fn let_go(&mut self, id: &MachineId) {
         if let Some(m) = self.machines.get_mut(id) {
             m.folding = false;
@@ -220,19 +234,7 @@
             && zone_takes(job, &m.zone, 0, Some(left))
     }
 
-    /// The machine that would accept the task now if it were waiting, and starts it without a fetch.
-    fn target(&self, from: &MachineId, task: &TaskId) -> Option<&MachineId> {
-        let job = self.movable(task)?;
-        let need = job.spec.need();
-        let left = self.machines.get(from)?.zone.as_str();
-        let mut machines = self.machines.iter();
-        machines.find_map(|(id, m)| {
-            let fits = id != from && self.would_take(job, id, m, &need, left);
-            fits.then_some(id)
-        })
-    }
-
-    /// At a report of a machine that is being folded: the task to stop now, if the machine that will take it reports
+    /// At a report of a machine that is being folded: the task to stop now, if a machine that would take it reports
     /// next just when the task's exit is known, so that the replica is down as shortly as can be.
     pub(super) fn task_to_move(&mut self, from: &MachineId, now: Micros) -> Option<TaskId> {
         let m = self.machines.get(from)?;
@@ -240,12 +242,21 @@
             return None;
         }
         let task = m.held.keys().next()?.clone();
-        let target = self.target(from, &task)?.clone();
+        let job = self.movable(&task)?;
+        let need = job.spec.need();
         let earliest = self.knobs.report.scaled(3, 4);
-        let quiet = now.since(self.machines.get(&target)?.heard_at);
-        if quiet + HANDOVER > earliest || quiet + HANDOVER.scaled(2, 1) < earliest.scaled(1, 2) {
-            return None;
-        }
+        let quiet = |m: &Machine| now.since(m.reported_at);
+        let in_time = |m: &Machine| {
+            quiet(m) + HANDOVER <= earliest
+                && quiet(m) + HANDOVER.scaled(2, 1) >= earliest.scaled(1, 2)
+        };
+        let takes = |(id, other): &(&MachineId, &Machine)| {
+            *id != from && in_time(other) && self.would_take(job, id, other, &need, &m.zone)
+        };
+        let takers = self.machines.iter().filter(takes);
+        let target = takers
+            .max_by_key(|(_, m)| quiet(m))
+            .map(|(id, _)| id.clone())?;
         self.fold.moved_at = now;
         let job = self.jobs.get_mut(&task.job)?;
         // The place is spoken for until the task has had time to come.
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -218,6 +218,7 @@
             budget = budget.saturating_sub(job.claims.len());
         }
         let cleared: Vec<MachineId> = job.claims.iter().map(|(m, _)| m.clone()).collect();
+        let moves = job.moving_until > now && !cleared.is_empty();
         let mut next = 0;
         for &i in order {
             let candidate = &mut machines[i];
@@ -228,8 +229,9 @@
             if !candidate.free.holds(&need) || self.is_kept_from(&candidate.id, id) {
                 continue;
             }
-            let ready = self.machines[&candidate.id].has_image(&spec.image)
-                || cleared.contains(&candidate.id);
+            // What is being moved goes where its place is.
+            let ready = cleared.contains(&candidate.id)
+                || !moves && self.machines[&candidate.id].has_image(&spec.image);
             if with_image && !ready {
                 continue;
             }
