--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -7,17 +7,6 @@
 /// Tasks of one job placed in one round, so that one huge job can't take the whole round.
 const TASKS_PER_JOB: usize = 512;
 
-/// Which machines a job is offered to in one pass, and how many of its tasks each may take.
-#[derive(Debug, Clone, Copy, Default)]
-struct Pass {
-    /// Only those that have its image, are fetching it, or were cleared for it.
-    with_image: bool,
-    /// Only spot machines, or only ordinary ones.
-    spot: Option<bool>,
-    /// One task a machine: what must be fetched anyway is then had by more machines.
-    one_each: bool,
-}
-
 /// A machine as a round sees it.
 struct Candidate {
     id: MachineId,
@@ -54,30 +43,24 @@
                 self.delay(id, now);
                 continue;
             }
-            let any = Pass::default();
-            let cached = Pass {
-                with_image: true,
-                ..any
-            };
             // Ordinary machines decline what may use spot ones, which are far cheaper, while these have room.
-            if self
-                .jobs
-                .get(id)
-                .is_some_and(|j| j.spec.spot && !j.lost_on_spot)
-            {
-                let spot = Some(true);
-                self.offer(id, &mut machines, order, Pass { spot, ..cached }, now);
-                self.offer(id, &mut machines, order, Pass { spot, ..any }, now);
+            let kinds: &[Option<bool>] = match self.jobs.get(id) {
+                Some(job) if job.spec.spot && !job.lost_on_spot => &[Some(true), Some(false)],
+                _ => &[None],
+            };
+            let (cheap, last) = kinds.split_at(kinds.len() - 1);
+            for kind in cheap {
+                self.offer(id, &mut machines, order, (true, *kind), now);
+                self.offer(id, &mut machines, order, (false, *kind), now);
             }
-            self.offer(id, &mut machines, order, cached, now);
+            let kind = last.first().copied().flatten();
+            self.offer(id, &mut machines, order, (true, kind), now);
             // A task that would wait too long for its image on a free machine rather takes the place of another on
             // a machine that has it.
             if self.fetch_is_too_slow(id) {
                 self.preempt_for(id, true, &mut room, now);
-                let one_each = true;
-                self.offer(id, &mut machines, order, Pass { one_each, ..any }, now);
             }
-            self.offer(id, &mut machines, order, any, now);
+            self.offer(id, &mut machines, order, (false, kind), now);
             self.preempt_for(id, false, &mut room, now);
             self.note_offered(id, before, now);
             self.delay(id, now);
@@ -125,7 +108,7 @@
         }
         for part in parts {
             let before: Vec<Room> = machines.iter().map(|m| m.free).collect();
-            self.offer(id, machines, &part, Pass::default(), now);
+            self.offer(id, machines, &part, (false, None), now);
             if self.jobs.get(id).is_none_or(|job| job.waiting() == 0) {
                 return;
             }
@@ -210,14 +193,15 @@
         drawn
     }
 
-    /// Offers a job's waiting tasks to the machines of a pass; tasks that wait for a place being cleared are left out
-    /// where the image is not asked for.
+    /// Offers a job's waiting tasks to the machines that have its image, are fetching it or were cleared for it, or to
+    /// all of them, and of those to spot machines, to ordinary ones or to both; tasks that wait for a place being
+    /// cleared are left out of the latter.
     fn offer(
         &mut self,
         id: &JobId,
         machines: &mut [Candidate],
         order: &[usize],
-        pass: Pass,
+        (with_image, spot): (bool, Option<bool>),
         now: Micros,
     ) {
         let Some(job) = self.jobs.get_mut(id) else {
@@ -230,7 +214,7 @@
         if !spec.is_gang() {
             budget = budget.min(TASKS_PER_JOB);
         }
-        if !pass.with_image {
+        if !with_image {
             budget = budget.saturating_sub(job.claims.len());
         }
         let cleared: Vec<MachineId> = job.claims.iter().map(|(m, _)| m.clone()).collect();
@@ -238,7 +222,7 @@
         let mut next = 0;
         for &i in order {
             let candidate = &mut machines[i];
-            if pass.spot.is_some_and(|spot| spot != candidate.spot) {
+            if spot.is_some_and(|spot| spot != candidate.spot) {
                 continue;
             }
             self.offers_made += 1;
@@ -248,7 +232,7 @@
             // What is being moved goes where its place is.
             let ready = cleared.contains(&candidate.id)
                 || !moves && self.machines[&candidate.id].has_image(&spec.image);
-            if pass.with_image && !ready {
+            if with_image && !ready {
                 continue;
             }
             while budget > 0 && candidate.free.holds(&need) && self.accepts(id, &candidate.id) {
@@ -262,9 +246,6 @@
                 candidate.free -= need;
                 next = index + 1;
                 budget -= 1;
-                if pass.one_each {
-                    break;
-                }
             }
         }
     }
