--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -7,6 +7,20 @@
 /// Tasks of one job placed in one round, so that one huge job can't take the whole round.
 const TASKS_PER_JOB: usize = 512;
 
+/// With so many machines for each task of a job, what must be fetched anyway is fetched by as many as it has tasks.
+const MACHINES_PER_TASK: usize = 50;
+
+/// Which machines a job is offered to in one pass, and how many of its tasks each may take.
+#[derive(Debug, Clone, Copy, Default)]
+struct Pass {
+    /// Only those that have its image, are fetching it, or were cleared for it.
+    with_image: bool,
+    /// Only spot machines, or only ordinary ones.
+    spot: Option<bool>,
+    /// One task a machine: what must be fetched anyway is then had by more machines.
+    one_each: bool,
+}
+
 /// A machine as a round sees it.
 struct Candidate {
     id: MachineId,
@@ -43,24 +57,32 @@
                 self.delay(id, now);
                 continue;
             }
-            // Ordinary machines decline what may use spot ones, which are far cheaper, while these have room.
-            let kinds: &[Option<bool>] = match self.jobs.get(id) {
-                Some(job) if job.spec.spot && !job.lost_on_spot => &[Some(true), Some(false)],
-                _ => &[None],
+            let any = Pass::default();
+            let cached = Pass {
+                with_image: true,
+                ..any
             };
-            let (cheap, last) = kinds.split_at(kinds.len() - 1);
-            for kind in cheap {
-                self.offer(id, &mut machines, order, (true, *kind), now);
-                self.offer(id, &mut machines, order, (false, *kind), now);
+            // Ordinary machines decline what may use spot ones, which are far cheaper, while these have room.
+            if self
+                .jobs
+                .get(id)
+                .is_some_and(|j| j.spec.spot && !j.lost_on_spot)
+            {
+                let spot = Some(true);
+                self.offer(id, &mut machines, order, Pass { spot, ..cached }, now);
+                self.offer(id, &mut machines, order, Pass { spot, ..any }, now);
             }
-            let kind = last.first().copied().flatten();
-            self.offer(id, &mut machines, order, (true, kind), now);
+            self.offer(id, &mut machines, order, cached, now);
             // A task that would wait too long for its image on a free machine rather takes the place of another on
             // a machine that has it.
             if self.fetch_is_too_slow(id) {
                 self.preempt_for(id, true, &mut room, now);
+                // In a small fleet the machines are too few to give each task one of its own.
+                let tasks = self.jobs.get(id).map_or(0, |j| j.spec.tasks as usize);
+                let one_each = self.machines.len() >= tasks * MACHINES_PER_TASK;
+                self.offer(id, &mut machines, order, Pass { one_each, ..any }, now);
             }
-            self.offer(id, &mut machines, order, (false, kind), now);
+            self.offer(id, &mut machines, order, any, now);
             self.preempt_for(id, false, &mut room, now);
             self.note_offered(id, before, now);
             self.delay(id, now);
@@ -108,7 +130,7 @@
         }
         for part in parts {
             let before: Vec<Room> = machines.iter().map(|m| m.free).collect();
-            self.offer(id, machines, &part, (false, None), now);
+            self.offer(id, machines, &part, Pass::default(), now);
             if self.jobs.get(id).is_none_or(|job| job.waiting() == 0) {
                 return;
             }
@@ -193,15 +215,14 @@
         drawn
     }
 
-    /// Offers a job's waiting tasks to the machines that have its image, are fetching it or were cleared for it, or to
-    /// all of them, and of those to spot machines, to ordinary ones or to both; tasks that wait for a place being
-    /// cleared are left out of the latter.
+    /// Offers a job's waiting tasks to the machines of a pass; tasks that wait for a place being cleared are left out
+    /// where the image is not asked for.
     fn offer(
         &mut self,
         id: &JobId,
         machines: &mut [Candidate],
         order: &[usize],
-        (with_image, spot): (bool, Option<bool>),
+        pass: Pass,
         now: Micros,
     ) {
         let Some(job) = self.jobs.get_mut(id) else {
@@ -214,7 +235,7 @@
         if !spec.is_gang() {
             budget = budget.min(TASKS_PER_JOB);
         }
-        if !with_image {
+        if !pass.with_image {
             budget = budget.saturating_sub(job.claims.len());
         }
         let cleared: Vec<MachineId> = job.claims.iter().map(|(m, _)| m.clone()).collect();
@@ -222,7 +243,7 @@
         let mut next = 0;
         for &i in order {
             let candidate = &mut machines[i];
-            if spot.is_some_and(|spot| spot != candidate.spot) {
+            if pass.spot.is_some_and(|spot| spot != candidate.spot) {
                 continue;
             }
             self.offers_made += 1;
@@ -232,7 +253,7 @@
             // What is being moved goes where its place is.
             let ready = cleared.contains(&candidate.id)
                 || !moves && self.machines[&candidate.id].has_image(&spec.image);
-            if with_image && !ready {
+            if pass.with_image && !ready {
                 continue;
             }
             while budget > 0 && candidate.free.holds(&need) && self.accepts(id, &candidate.id) {
@@ -246,6 +267,9 @@
                 candidate.free -= need;
                 next = index + 1;
                 budget -= 1;
+                if pass.one_each {
+                    break;
+                }
             }
         }
     }
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -1775,3 +1775,24 @@
     let waited = begins_among_small_ones(&mut t, &small, spread);
     assert!(waited < 120, "{waited} s for its share");
 }
+
+// Guards against an image that a large fleet has on few machines only, and against small fleets being scattered.
+#[test]
+fn a_slow_fetch_is_spread_over_machines_where_there_are_many() {
+    let used = |machines: usize| {
+        let mut t = Story::new(0.0);
+        for i in 0..machines {
+            t.worker(&format!("m-{i:04}"), "a", false);
+        }
+        t.submit(JobSpec {
+            tasks: 4,
+            image_gb: 6.0,
+            ..live("j-1")
+        });
+        t.round();
+        let held = t.s.machines.values().filter(|m| !m.held.is_empty());
+        held.count()
+    };
+    assert_eq!(used(10), 2);
+    assert_eq!(used(200), 4);
+}
