What cannot be in time any more gives way to what can

Ruled out: renting (no capacity), idle places (5%). Now a job that by its estimate misses its time counts as due half as late again, or at three times its time, and so never waits for ever.

--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -604,15 +604,21 @@
         self.at.saturating_add(due)
     }
 
-    /// Its place among jobs of its priority at a time of day: the one due first goes first. One that is overdue by
-    /// half of its time gives way once, to what may still be in time, and keeps its new place.
+    /// Its place among jobs of its priority at a time of day: the one due first goes first.
+    ///
+    /// Guards against an overload in which every job is served just too late: one that by its owner's estimate can't be
+    /// in time any more counts as due half as late again, and if not even then, at three times its time. It gives way
+    /// to what may still be in time, but only so far, so that none waits for ever.
     pub fn turn(&self, wall: u64) -> u64 {
         let due = self.due_at();
         let allowed = due - self.at;
-        if wall > due.saturating_add(allowed / 2) {
-            due.saturating_add(allowed)
-        } else {
+        let done_at = wall.saturating_add(Micros::from_secs_f64(self.spec.expect_s).0);
+        if allowed == 0 || done_at <= due {
             due
+        } else if done_at <= due.saturating_add(allowed / 2) {
+            due.saturating_add(allowed / 2)
+        } else {
+            due.saturating_add(allowed).saturating_add(allowed)
         }
     }
 
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -1796,3 +1796,33 @@
     assert_eq!(used(10), 2);
     assert_eq!(used(200), 4);
 }
+
+#[test]
+fn what_cannot_be_in_time_gives_way_but_not_for_ever() {
+    let mut t = Story::new(0.0);
+    let due = |id: &str, due_s: f64| JobSpec {
+        due_s: Some(due_s),
+        ..spec(id, 1)
+    };
+    // Each takes a minute: the first can't make it, the second can, the third has much time.
+    let late = t.submit(due("j-1", 50.0));
+    let fair = t.submit(due("j-2", 90.0));
+    let ample = t.submit(due("j-3", 1_000.0));
+    let order = |t: &mut Story, at_s: u64| {
+        t.s.wall = Micros::secs(at_s).0;
+        let mut jobs: Vec<&Job> = t.s.jobs.values().collect();
+        t.s.sort_by_turn(&mut jobs);
+        let ids = jobs.iter().map(|j| j.spec.id.clone());
+        ids.collect::<Vec<_>>()
+    };
+    assert_eq!(
+        order(&mut t, 0),
+        [late.clone(), fair.clone(), ample.clone()]
+    );
+    assert_eq!(
+        order(&mut t, 25),
+        [fair.clone(), late.clone(), ample.clone()]
+    );
+    // Even what is long overdue stays before what is due later than three times its time.
+    assert_eq!(order(&mut t, 200), [late, fair, ample]);
+}
