Answers within a worker's patience, sooner for one whose lease may be nearly over; a leader sheds workers

A filter between controllers had sent 345 workers to the leader, which kept them, and was then cut off with them; zones came apart as well, and the next controllers tried the leader and every relay for a second each before they answered, which leaves a lease of 14 s no room after two silent controllers. Now all ways to the leader together take 1.5 s at most, 0.7 s for a worker that just came; and once all has been well for 20 s a leader with more than twice its share of workers sends them to others bit by bit.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1,7 +1,7 @@
 //! One controller: its parts, its connections and its long-lived duties.
 
 use crate::cloud::Cloud;
-use crate::config::{Platform, Settings};
+use crate::config::{Member, Platform, Settings};
 use crate::election;
 use crate::http::{self, Call, Reply};
 use crate::leader::{self, Leading};
@@ -45,6 +45,9 @@
     at: Micros,
 }
 
+/// More machines that were seen here than this, and those not seen lately are forgotten.
+const NEWCOMERS_KEPT: usize = 4_000;
+
 /// When a machine was last sent to another controller, and how often that was.
 #[derive(Debug, Clone, Copy)]
 struct Handed {
@@ -80,6 +83,7 @@
     avoided: RefCell<BTreeMap<String, Micros>>,
     heard: RefCell<BTreeMap<MachineId, Micros>>,
     handed: RefCell<BTreeMap<MachineId, Handed>>,
+    seen_here: RefCell<BTreeMap<MachineId, Micros>>,
     heard_new: Event,
     connections: Cell<usize>,
 }
@@ -116,6 +120,7 @@
             avoided: RefCell::default(),
             heard: RefCell::default(),
             handed: RefCell::default(),
+            seen_here: RefCell::default(),
             heard_new: Event::new(),
             connections: Cell::new(0),
             platform,
@@ -186,6 +191,27 @@
         self.heard_new.notify(usize::MAX);
     }
 
+    /// Whether a worker's report is the first here for a while; it is not the next time.
+    pub fn is_newcomer(&self, machine: &MachineId) -> bool {
+        let now = self.clock.now();
+        let lately = self.platform.report().scaled(2, 1);
+        let mut seen = self.seen_here.borrow_mut();
+        if seen.len() >= NEWCOMERS_KEPT {
+            seen.retain(|_, at| now.since(*at) < lately);
+        }
+        let before = seen.insert(machine.clone(), now);
+        before.is_none_or(|at| now.since(at) > lately)
+    }
+
+    /// A controller of the zone that answers, for a worker of the zone.
+    pub fn neighbour_of(&self, zone: &str) -> Option<String> {
+        let members = self.platform.members.iter();
+        let near: Vec<&Member> = members
+            .filter(|m| m.zone == zone && self.answers(&m.node))
+            .collect();
+        fastrand::choice(near).map(|m| m.node.clone())
+    }
+
     /// Where to send a worker whose report can't be passed on, if it may be sent away.
     ///
     /// Its lease must outlast a try of a controller that turns out to be silent for it too, after which it comes back
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -20,6 +20,10 @@
 const CUT_LASTS: Micros = Micros::secs(180);
 /// A machine whose report is late by this is out of touch.
 const OUT_OF_TOUCH: Micros = Micros::secs(1);
+/// All must have been well for so long before workers are sent to other controllers.
+const SHED_AFTER: Micros = Micros::secs(20);
+/// Of so many workers too many, one is sent away in one plan.
+const SHED_OF: usize = 10;
 /// Fewer waiting tasks than this are no ramp.
 const RAMP_FROM: usize = 16;
 /// How far back arrivals are counted to size the reserve.
@@ -111,6 +115,7 @@
     pub fn plan_fleet(&mut self, now: Micros, wall: u64) -> FleetPlan {
         self.wall = wall;
         self.lose_touch(now);
+        self.shed = self.workers_to_shed(now);
         self.give_up_lost(now);
         self.give_up_for_cancels(wall);
         let reserve = self.reserve(wall);
@@ -258,6 +263,30 @@
         }
     }
 
+    /// How many of the workers that report to this controller itself should go to another, once all is well again.
+    ///
+    /// Guards against a leader that keeps every worker of a large fleet after a filter between controllers: it would
+    /// carry all the work, and all would have to find another controller at once when it fails.
+    fn workers_to_shed(&self, now: Micros) -> usize {
+        let calm = self.steady_since.is_some_and(|t| now.since(t) > SHED_AFTER);
+        if !calm || self.knobs.controllers < 2 {
+            return 0;
+        }
+        let own = self
+            .machines
+            .values()
+            .filter(|m| m.in_touch && m.via.is_empty());
+        let fair = self.machines.len() * 2 / self.knobs.controllers;
+        own.count().saturating_sub(fair).div_ceil(SHED_OF)
+    }
+
+    /// Whether a worker that just reported here should report elsewhere.
+    pub fn sheds_worker(&mut self) -> bool {
+        let sheds = self.shed > 0;
+        self.shed -= usize::from(sheds);
+        sheds
+    }
+
     /// Machines whose reports do not get here take no offers, and what was not sent to them yet goes elsewhere.
     ///
     /// Guards against tasks that wait behind a cut, on machines that only another controller hears, while others have
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -178,6 +178,8 @@
     told: BTreeMap<String, Micros>,
     notes: Vec<String>,
     details: Vec<String>,
+    /// How many workers this controller may still send to another until the next plan of the fleet.
+    shed: usize,
     /// Offers made in the last round, for bounding and for tests.
     pub offers_made: usize,
 }
@@ -221,6 +223,7 @@
             told: BTreeMap::new(),
             notes: Vec::new(),
             details: Vec::new(),
+            shed: 0,
             offers_made: 0,
         }
     }
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -1826,3 +1826,34 @@
     // Even what is long overdue stays before what is due later than three times its time.
     assert_eq!(order(&mut t, 200), [late, fair, ample]);
 }
+
+// Guards against a leader that keeps every worker after a filter between controllers.
+#[test]
+fn a_leader_with_too_many_workers_of_its_own_sheds_them_bit_by_bit_once_all_is_well() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    t.via = "";
+    for i in 0..30 {
+        t.worker(&format!("m-{i:02}"), "a", false);
+    }
+    let controllers = [controller("n-0", "a", true), controller("n-1", "a", true)];
+    let shed_after = |t: &mut Story, seconds: u64| {
+        let mut shed = 0;
+        for _ in 0..seconds {
+            t.wait(1);
+            t.s.set_controllers(&controllers, t.now);
+            t.beat_all();
+            t.s.plan_fleet(t.now, 0);
+            shed = (0..30).filter(|_| t.s.sheds_worker()).count();
+        }
+        shed
+    };
+    assert_eq!(
+        shed_after(&mut t, 10),
+        0,
+        "not while it may still be needed"
+    );
+    assert_eq!(shed_after(&mut t, 20), 1, "ten too many, so one at a time");
+    t.via = "n-1";
+    assert_eq!(shed_after(&mut t, 2), 0, "and none once others have them");
+}
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -1,7 +1,7 @@
 //! The face for workers: reports are answered by the leader, whichever controller they reach.
 
 use crate::controller::Node;
-use crate::http::{Call, Reply};
+use crate::http::{Call, Reply, within};
 use crate::leader::Leading;
 use crate::peer::{self, Request};
 use crate::scheduler::{Order, Report};
@@ -13,6 +13,10 @@
 
 /// How long the leader may take when asked directly, and through another controller.
 const FORWARD_WITHIN: Micros = Micros::millis(1_000);
+/// How long all ways to the leader may take together: a worker waits four seconds.
+const ALL_WITHIN: Micros = Micros::millis(1_500);
+/// The same for a worker that came from elsewhere: its lease may be nearly over.
+const NEWCOMER_WITHIN: Micros = Micros::millis(700);
 /// After a failure the direct way is not tried for so long.
 const AVOID_FOR: Micros = Micros::secs(3);
 
@@ -23,6 +27,8 @@
     pub token: u64,
     /// The orders.
     pub orders: Vec<Order>,
+    /// The controller that the worker should report to instead.
+    pub elsewhere: Option<String>,
 }
 
 /// Answers a worker's request.
@@ -40,6 +46,10 @@
     let seen = report.token;
     let (machine, zone) = (report.machine.clone(), report.zone.clone());
     match checkin(node, report).await {
+        Some(Answer {
+            elsewhere: Some(other),
+            ..
+        }) => Reply::json(421, &json!({ "muster": other })),
         // A worker drops a lower token but stays, while its lease runs out: it must be sent elsewhere.
         Some(answer) if answer.token >= seen => Reply::json(
             200,
@@ -67,7 +77,14 @@
         return lead(node, &leading, &report, "").await;
     }
     let own = node.platform.node.clone();
-    forward(node, report, &own, true).await
+    let limit = if node.is_newcomer(&report.machine) {
+        NEWCOMER_WITHIN
+    } else {
+        ALL_WITHIN
+    };
+    within(limit, forward(node, report, &own, true))
+        .await
+        .flatten()
 }
 
 /// The leader's own answer to a report.
@@ -90,9 +107,17 @@
     } else {
         Vec::new()
     };
+    let idle =
+        heard.fresh && !heard.changed && orders.is_empty() && report.token == leading.token();
+    let elsewhere = if via.is_empty() && idle && leading.scheduler.borrow_mut().sheds_worker() {
+        node.neighbour_of(&report.zone)
+    } else {
+        None
+    };
     Some(Answer {
         token: leading.token(),
         orders,
+        elsewhere,
     })
 }
 
@@ -136,7 +161,11 @@
         Ok(frame) => {
             node.learn(&frame.known);
             match frame.message {
-                peer::Reply::Answer { token, orders } => Some(Answer { token, orders }),
+                peer::Reply::Answer { token, orders } => Some(Answer {
+                    token,
+                    orders,
+                    elsewhere: None,
+                }),
                 _ => None,
             }
         }
@@ -159,7 +188,7 @@
         None => None,
     };
     match answer {
-        Some(Answer { token, orders }) => peer::Reply::Answer { token, orders },
+        Some(Answer { token, orders, .. }) => peer::Reply::Answer { token, orders },
         None => peer::Reply::NoLeader,
     }
 }
