A cut that has just ended, and one that is not seen yet, are no reason to give machines up

Now a cut excuses silence up to its end, one failed ping ends the calm, and a silent machine has a second more.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -43,6 +43,8 @@
 struct Word {
     known: Knowledge,
     at: Micros,
+    /// Whether a ping failed since.
+    failed: bool,
 }
 
 /// More machines that were seen here than this, and those not seen lately are forgotten.
@@ -170,6 +172,7 @@
         let word = Word {
             known,
             at: self.clock.now(),
+            failed: false,
         };
         self.words.borrow_mut().insert(peer.to_owned(), word);
     }
@@ -284,7 +287,8 @@
     fn answers(&self, node: &str) -> bool {
         let now = self.clock.now();
         let words = self.words.borrow();
-        words.get(node).is_some_and(|w| now.since(w.at) < LATELY)
+        let fresh = |w: &Word| !w.failed && now.since(w.at) < LATELY;
+        words.get(node).is_some_and(fresh)
     }
 
     /// The controllers, and which of them answer.
@@ -471,6 +475,9 @@
                     peer.node,
                     e.to_string()
                 );
+                if let Some(word) = node.words.borrow_mut().get_mut(&peer.node) {
+                    word.failed = true;
+                }
                 // Reports need not find out anew that this way is closed.
                 node.avoid(&peer.node, node.clock.now() + AVOID_FOR);
             }
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -12,6 +12,8 @@
 const LEAST_CHARGE: Micros = Micros::secs(60);
 /// How long a worker waits for an answer, and then before it tries the next controller.
 const WORKER_MOVES_ON: Micros = Micros::secs(5);
+/// Until it is seen that a controller does not answer; sooner a silent machine can't be told from a broken way.
+const NOTICED_WITHIN: Micros = Micros::secs(2);
 /// How long another controller may need to tell that it hears a machine.
 const TOLD_WITHIN: Micros = Micros::secs(2);
 /// How long a machine given up for its silence counts as silent, so that a cut is not eaten up bit by bit.
@@ -334,6 +336,7 @@
         self.fleet
             .given_up
             .retain(|(at, _, _)| now.since(*at) < GIVEN_UP_COUNTS);
+        self.excuse_cut_off(now);
         give_up.extend(self.silent(now).into_iter().map(|id| (id, "silent")));
         for (id, mut why) in give_up {
             let Some(m) = self.machines.get_mut(&id) else {
@@ -370,7 +373,7 @@
         // its zone, or to two controllers, is broken it may have to try two in vain.
         let patience = |m: &Machine| {
             if steady {
-                step + Micros::secs(1)
+                step + NOTICED_WITHIN
             } else if self.two_silent_at.is_some()
                 || self.doubtful_zones.contains_key(&m.zone)
                 || self.silent_nodes.contains_key(&m.via)
@@ -382,7 +385,9 @@
         };
         let lease = self.knobs.lease + step;
         let counted = |m: &Machine| m.life == Life::Up || !m.held.is_empty();
-        let is_late = |m: &Machine| now.since(m.heard_at) > patience(m);
+        // Once a cut is over, workers need as long as ever to be heard.
+        let quiet = |m: &Machine| now.since(m.heard_at.max(m.excused_at));
+        let is_late = |m: &Machine| quiet(m) > patience(m);
         // Many of one controller's workers late together: the way through it is troubled, though it answers pings.
         let mut ways: BTreeMap<&str, Silence> = BTreeMap::new();
         for m in self.machines.values().filter(|m| counted(m)) {
@@ -390,7 +395,7 @@
         }
         let is_quiet = |m: &Machine| {
             let troubled = ways.get(m.via.as_str()).is_some_and(|w| !w.is_few(false));
-            is_late(m) && (!troubled || now.since(m.heard_at) > two_moves + TOLD_WITHIN)
+            is_late(m) && (!troubled || quiet(m) > two_moves + TOLD_WITHIN)
         };
         let mut zones: BTreeMap<&str, Silence> = BTreeMap::new();
         let mut all = Silence::default();
@@ -407,20 +412,33 @@
             if m.life == Life::Returning || !counted(m) || !is_quiet(m) {
                 continue;
             }
-            if self.is_cut_off(m, now) && now.since(m.heard_at) < CUT_LASTS {
-                continue;
-            }
             let zone = &zones[m.zone.as_str()];
             let few = zone.is_few(m.spot) && all.is_few(m.spot);
             let wave = m.spot && zone.quiet[0] == 0 && all.is_few(false);
             let noticed = m.notice.is_some_and(|t| t < now);
-            if few || wave || noticed || now.since(m.heard_at) > lease.max(two_moves) {
+            if few || wave || noticed || quiet(m) > lease.max(two_moves) {
                 silent.push(id.clone());
             }
         }
         silent
     }
 
+    /// Notes which machines need not be heard now.
+    fn excuse_cut_off(&mut self, now: Micros) {
+        let cut_off = |m: &Machine| self.is_cut_off(m, now) && now.since(m.heard_at) < CUT_LASTS;
+        let excused: Vec<MachineId> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| cut_off(m))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in excused {
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.excused_at = now;
+            }
+        }
+    }
+
     /// Whether a machine is silent because the controller that it reports to is: that one keeps its lease alive, and
     /// the machine list tells if it dies all the same.
     ///
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -677,6 +677,7 @@
         images: Vec::new(),
         failed_jobs: BTreeSet::new(),
         idle_since: None,
+        excused_at: Micros::ZERO,
         reported_at: now,
         in_touch: false,
         folding: false,
--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -735,6 +735,8 @@
     pub exited: Vec<(TaskId, u64)>,
     /// How far it is.
     pub life: Life,
+    /// When its silence was last excused by a cut.
+    pub excused_at: Micros,
     /// When it was rented, or first known of.
     pub since: Micros,
     /// The newest report.
