--- a/src/controller.rs
+++ b/src/controller.rs
@@ -82,6 +82,7 @@
     leading: RefCell<Option<Rc<Leading>>>,
     words: RefCell<BTreeMap<String, Word>>,
     token_seen: Cell<u64>,
+    misses_told: Cell<Micros>,
     avoided: RefCell<BTreeMap<String, Micros>>,
     heard: RefCell<BTreeMap<MachineId, Micros>>,
     handed: RefCell<BTreeMap<MachineId, Handed>>,
@@ -119,6 +120,7 @@
             leading: RefCell::default(),
             words: RefCell::default(),
             token_seen: Cell::new(0),
+            misses_told: Cell::new(Micros::ZERO),
             avoided: RefCell::default(),
             heard: RefCell::default(),
             handed: RefCell::default(),
@@ -141,6 +143,7 @@
             token: self.token_seen.get(),
             leader: None,
             state_reachable: self.store.reachable(),
+            misses_one: !self.all_answer(),
         };
         let mut consider = |token: u64, leader: Option<&str>| {
             if token > best.token || (token == best.token && best.leader.is_none()) {
@@ -166,6 +169,18 @@
     pub fn learn(&self, known: &Knowledge) {
         let token = self.token_seen.get().max(known.token);
         self.token_seen.set(token);
+        if known.misses_one {
+            self.misses_told.set(self.clock.now());
+        }
+    }
+
+    fn all_answer(&self) -> bool {
+        self.platform.members.iter().all(|m| self.answers(&m.node))
+    }
+
+    /// Whether another controller told lately that it misses one, though this one may reach all.
+    pub fn hears_of_a_cut(&self) -> bool {
+        self.clock.now().since(self.misses_told.get()) < LATELY
     }
 
     fn note_word(&self, peer: &str, known: Knowledge) {
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -463,6 +463,9 @@
         let plan = {
             let mut scheduler = leading.scheduler.borrow_mut();
             scheduler.set_controllers(&node.controllers(), now);
+            if node.hears_of_a_cut() {
+                scheduler.end_calm();
+            }
             scheduler.plan_fleet(now, node.clock.wall())
         };
         let give_back = give_back(node, leading, &plan.give_back);
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -31,6 +31,8 @@
     pub leader: Option<String>,
     /// Whether the sender reaches the state service.
     pub state_reachable: bool,
+    /// Whether another controller does not answer the sender.
+    pub misses_one: bool,
 }
 
 /// A request to another controller.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -258,6 +258,11 @@
         self.two_silent_at = self.two_silent_at.filter(|at| now.since(*at) < CUT_LINGERS);
     }
 
+    /// Another controller misses one that answers here: workers beyond that cut look for another as well.
+    pub fn end_calm(&mut self) {
+        self.steady_since = None;
+    }
+
     /// What happened since the last call, in words for the log: for the people on call, and in detail.
     pub fn take_notes(&mut self) -> (Vec<String>, Vec<String>) {
         (
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -1865,3 +1865,31 @@
     t.via = "n-1";
     assert_eq!(shed_after(&mut t, 2), 0, "and none once others have them");
 }
+
+// Guards against giving up the workers beyond a cut of two other zones, of which this controller reaches every one.
+#[test]
+fn a_cut_that_only_others_see_ends_the_calm() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    for i in 0..20 {
+        t.worker(&format!("m-{i:02}"), ["a", "b"][i % 2], false);
+    }
+    let controllers = [controller("n-0", "c", true), controller("n-1", "a", true)];
+    let mut given = Vec::new();
+    for second in 0..30 {
+        t.wait(1);
+        t.s.set_controllers(&controllers, t.now);
+        if second >= 20 {
+            t.s.end_calm();
+        }
+        for i in (0..20).filter(|i| i % 7 != 0 || second < 20) {
+            t.beat(&format!("m-{i:02}"));
+        }
+        given.extend(t.s.plan_fleet(t.now, 0).give_back);
+    }
+    assert_eq!(
+        given,
+        vec![],
+        "they find another controller within ten seconds"
+    );
+}
