--- a/src/leader.rs
+++ b/src/leader.rs
@@ -38,6 +38,8 @@
 const FLAVORS_EVERY: Micros = Micros::secs(30);
 /// Tries of one rental request.
 const RENT_TRIES: usize = 3;
+/// Tries of noting rentals, which share the writes with everything else.
+const NOTE_TRIES: usize = 8;
 /// A rental is remembered at least so long for the next leader.
 const RENTAL_KEPT: Micros = Micros::secs(90);
 
@@ -170,10 +172,12 @@
             leading.scheduler.borrow_mut().round(now);
         }
         for _ in 0..BATCHES_PER_ROUND {
-            let batch = leading
-                .scheduler
-                .borrow_mut()
-                .next_batch(node.platform.facts.state.txn_ops, BATCH_BYTES);
+            let short = node.state.writes_are_short();
+            let batch = leading.scheduler.borrow_mut().next_batch(
+                node.platform.facts.state.txn_ops,
+                BATCH_BYTES,
+                short,
+            );
             if batch.is_empty() {
                 break;
             }
@@ -663,8 +667,19 @@
     });
     let changes: Vec<Change> = puts.chain(deletes).collect();
     let when = [leading.leader_condition()];
-    let written = node.state.txn(Urgency::Now, &when, &changes).await;
-    let good = matches!(written, Ok(Outcome::Applied(_)));
+    let mut good = false;
+    for _ in 0..NOTE_TRIES {
+        match node.state.txn(Urgency::Now, &when, &changes).await {
+            Ok(Outcome::Applied(_)) => {
+                good = true;
+                break;
+            }
+            Ok(Outcome::Conflict(_)) => break,
+            // The same again does no harm where a try was applied after all.
+            Err(e) => debug!("event=rentals_not_noted error={:?}", e.to_string()),
+        }
+        Timer::after(RETRY_PAUSE.into()).await;
+    }
     if good {
         let mut rentals = leading.rentals.borrow_mut();
         for charter in &forgotten {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -465,10 +465,11 @@
         }
     }
 
-    /// What is to be written next, at most `ops` puts and deletes and about `bytes`.
+    /// What is to be written next, at most `ops` puts and deletes and about `bytes`; where writes are `short` only what
+    /// users and workers wait for.
     ///
     /// Only one batch may be under way: its outcome must be told before the next is asked for.
-    pub fn next_batch(&mut self, ops: usize, bytes: usize) -> Vec<Write> {
+    pub fn next_batch(&mut self, ops: usize, bytes: usize, short: bool) -> Vec<Write> {
         let mut batch = Vec::new();
         let mut left = ops;
         let mut size = 0;
@@ -499,6 +500,9 @@
             });
         }
         self.add_ends(&mut batch, &mut left);
+        if short {
+            return batch;
+        }
         self.add_images(&mut batch, &mut left);
         if batch.is_empty() {
             self.add_forgets(&mut batch, left);
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -232,7 +232,7 @@
 
     fn commit(&mut self) {
         loop {
-            let batch = self.s.next_batch(20, 36_000);
+            let batch = self.s.next_batch(20, 36_000, false);
             if batch.is_empty() {
                 return;
             }
@@ -511,7 +511,7 @@
     t.worker("m-1", "a", false);
     let job = t.submit(spec("j-1", 1));
     t.s.round(t.now);
-    let batch = t.s.next_batch(20, 36_000);
+    let batch = t.s.next_batch(20, 36_000, false);
     assert!(matches!(batch[0], Write::Chunk { places: true, .. }));
     // The commit found the end key taken.
     t.s.batch_dropped(&batch);
@@ -903,7 +903,7 @@
     for _ in 0..4 {
         t.wait(1);
         t.s.round(t.now);
-        let batch = t.s.next_batch(20, 36_000);
+        let batch = t.s.next_batch(20, 36_000, false);
         let mut bytes = 0;
         for write in &batch {
             if let Write::Chunk { record, .. } = write {
@@ -1893,3 +1893,42 @@
         "they find another controller within ten seconds"
     );
 }
+
+// Guards against what matters less taking the writes that users and workers wait for.
+#[test]
+fn where_writes_are_short_images_and_old_records_wait() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    let job = t.submit(spec("j-1", 1));
+    t.round();
+    t.beat("m-1");
+    let running = t.workers.get_mut("m-1").expect("a worker").report("m-1");
+    t.s.on_report(&running, "n-1", t.now);
+    assert_eq!(t.s.next_batch(20, 36_000, true), vec![]);
+    t.s.end_job(
+        &job,
+        End {
+            how: Final::Aborted,
+            at: 0,
+            done: 0,
+        },
+    );
+    t.workers
+        .get_mut("m-1")
+        .expect("a worker")
+        .exit_all(ExitCause::Stopped);
+    let stopped = t.workers.get_mut("m-1").expect("a worker").report("m-1");
+    t.s.on_report(&stopped, "n-1", t.now);
+    let urgent = t.s.next_batch(20, 36_000, true);
+    assert!(matches!(urgent[..], [Write::Chunk { .. }]), "{urgent:?}");
+    t.revision += 1;
+    t.s.batch_applied(&urgent, t.revision);
+    assert!(matches!(
+        t.s.next_batch(20, 36_000, false)[..],
+        [Write::Images { .. }]
+    ));
+    assert!(matches!(
+        t.s.next_batch(20, 36_000, false)[..],
+        [Write::Forget { .. }]
+    ));
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -225,6 +225,11 @@
         self.writes.borrow_mut().per_second = write_rps;
     }
 
+    /// Whether the share of writes is used up, so that what matters less should wait.
+    pub fn writes_are_short(&self) -> bool {
+        self.writes.borrow().take(0.0) > Micros::ZERO
+    }
+
     async fn pace(&self, urgency: Urgency, writes: usize) {
         let wait = self
             .requests
