--- a/src/scheduler/fold.rs
+++ b/src/scheduler/fold.rs
@@ -78,10 +78,14 @@
                 under_way += 1;
             }
         }
-        if waiting || self.steady_since.is_none() {
+        if waiting {
             self.fold.spare_since = None;
             return;
         }
+        // Nothing is moved while a controller is missed; but one lost ping does not undo the wait for room to spare.
+        if self.steady_since.is_none() {
+            return;
+        }
         let most = 1 + self.fold.replicas / REPLICAS_PER_FOLDING;
         if under_way >= most {
             return;
