--- a/src/scheduler/fair.rs
+++ b/src/scheduler/fair.rs
@@ -58,11 +58,21 @@
             takes && wanting.contains(job)
         });
         let most = self.machines.len() / MACHINES_PER_KEPT + 1;
+        let waiting = self.jobs.values().filter(|j| j.waiting() > 0);
+        let least = waiting.map(|j| j.spec.need()).reduce(|a, b| a.least(&b));
         for id in wanting {
+            let Some(spec) = spec_of(&self.jobs, &id) else {
+                continue;
+            };
+            // A gang needs as many as it has tasks, another job one for its next task; what needs least of all gets its
+            // turn without help.
+            let needed = match least {
+                _ if spec.is_gang() => spec.tasks as usize,
+                Some(least) if least != spec.need() && machines.len() < most => 1,
+                _ => 0,
+            };
             let kept = machines.values().filter(|job| **job == id).count();
-            let gang = spec_of(&self.jobs, &id).is_some_and(|s| s.is_gang());
-            if (gang || machines.len() < most)
-                && kept < self.machines_to_keep(&id)
+            if kept < needed
                 && let Some(machine) = self.machine_to_keep(&id, &machines)
             {
                 machines.insert(machine, id);
@@ -71,21 +81,6 @@
         self.fair.machines = machines;
     }
 
-    /// How many machines a job needs kept: one for its next task; a gang as many as it has tasks.
-    fn machines_to_keep(&self, id: &JobId) -> usize {
-        let Some(job) = self.jobs.get(id) else {
-            return 0;
-        };
-        // What needs least of all gets its turn without help.
-        let waiting = self.jobs.values().filter(|j| j.waiting() > 0);
-        let least = waiting.map(|j| j.spec.need()).reduce(|a, b| a.least(&b));
-        match least {
-            _ if job.spec.is_gang() => job.spec.tasks as usize,
-            Some(least) if least != job.spec.need() => 1,
-            _ => 0,
-        }
-    }
-
     /// The machine that could take a task of the job and has the least to wait for.
     fn machine_to_keep(&self, id: &JobId, kept: &BTreeMap<MachineId, JobId>) -> Option<MachineId> {
         let spec = spec_of(&self.jobs, id)?;
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -629,7 +629,7 @@
 
     /// Sees to it that there are, or come, so many places for such tasks.
     fn plan_places(&self, spec: &Rc<JobSpec>, places: usize, plan: &mut Plan, now: Micros) {
-        let job = reserve_job(spec.clone());
+        let job = Job::new(spec.clone(), 0, None, Micros::ZERO);
         let nowhere = BTreeMap::new();
         plan.next = 0;
         for _ in self.free_places(spec)..places {
@@ -859,24 +859,3 @@
         best.map(|(_, pool, room)| (pool, room))
     }
 }
-
-/// A job without tasks of its own that stands for the reserve.
-fn reserve_job(spec: Rc<JobSpec>) -> Job {
-    Job {
-        spec,
-        at: 0,
-        end: None,
-        ending: false,
-        chunks: BTreeMap::new(),
-        done: 0,
-        live: 0,
-        live_in: BTreeMap::new(),
-        next_try: Micros::ZERO,
-        failed_on: BTreeSet::new(),
-        failures: 0,
-        lost_on_spot: false,
-        claims: Vec::new(),
-        moving_until: Micros::ZERO,
-        stuck_since: None,
-    }
-}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -296,23 +296,7 @@
         if self.jobs.contains_key(&id) {
             return;
         }
-        let mut job = Job {
-            spec: record.spec.clone(),
-            at: record.at,
-            end,
-            ending: end.is_some(),
-            chunks: BTreeMap::new(),
-            done: 0,
-            live: 0,
-            live_in: BTreeMap::new(),
-            next_try: now,
-            failed_on: BTreeSet::new(),
-            failures: 0,
-            lost_on_spot: false,
-            claims: Vec::new(),
-            moving_until: Micros::ZERO,
-            stuck_since: None,
-        };
+        let mut job = Job::new(record.spec.clone(), record.at, end, now);
         let mut placed = Vec::new();
         for (number, record, version) in chunks {
             let chunk = Chunk::inherit(&record, version);
--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -598,6 +598,27 @@
 }
 
 impl Job {
+    /// A job of which nothing was placed yet.
+    pub fn new(spec: Rc<JobSpec>, at: u64, end: Option<End>, now: Micros) -> Job {
+        Job {
+            spec,
+            at,
+            end,
+            ending: end.is_some(),
+            chunks: BTreeMap::new(),
+            done: 0,
+            live: 0,
+            live_in: BTreeMap::new(),
+            next_try: now,
+            failed_on: BTreeSet::new(),
+            failures: 0,
+            lost_on_spot: false,
+            claims: Vec::new(),
+            moving_until: Micros::ZERO,
+            stuck_since: None,
+        }
+    }
+
     /// When it should be complete, by the time of day; without a deadline when it came, so that the oldest go first.
     pub fn due_at(&self) -> u64 {
         let due = self.spec.due_s.map_or(0, |s| Micros::from_secs_f64(s).0);
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -285,6 +285,13 @@
         self.s.orders_for(&report.machine, at, self.now)
     }
 
+    /// Reports of machines whose names are these numbers, and answers that arrive.
+    fn beat_some(&mut self, numbers: impl IntoIterator<Item = usize>) {
+        for i in numbers {
+            self.beat(&format!("m-{i}"));
+        }
+    }
+
     /// A report whose answer arrives.
     fn beat(&mut self, name: &str) {
         let orders = self.ask(name);
@@ -313,6 +320,14 @@
     }
 }
 
+fn aborted(at: u64) -> End {
+    End {
+        how: Final::Aborted,
+        at,
+        done: 0,
+    }
+}
+
 fn controller(node: &str, zone: &str, answers: bool) -> Controller {
     Controller {
         node: node.into(),
@@ -486,11 +501,7 @@
     t.round();
     t.beat("m-1");
     assert_eq!(t.running(), 2);
-    let end = End {
-        how: Final::Aborted,
-        at: 0,
-        done: 0,
-    };
+    let end = aborted(0);
     t.s.end_job(&job, end);
     let orders = t.ask("m-1");
     assert!(
@@ -528,14 +539,7 @@
     let job = t.submit(spec("j-1", 1));
     t.round();
     t.beat("m-1");
-    t.s.end_job(
-        &job,
-        End {
-            how: Final::Aborted,
-            at: 0,
-            done: 0,
-        },
-    );
+    t.s.end_job(&job, aborted(0));
     let half = Micros::secs(30).0;
     assert!(t.s.plan_fleet(t.now, half).give_back.is_empty());
     let most = Micros::secs(37).0;
@@ -698,14 +702,7 @@
     t.round();
     t.beat_all();
     t.submit(spec("j-2", 2));
-    t.s.end_job(
-        &first,
-        End {
-            how: Final::Aborted,
-            at: 0,
-            done: 0,
-        },
-    );
+    t.s.end_job(&first, aborted(0));
     t.round();
     // m-2 has room, but the team's two tasks on m-1 are not proven to be gone.
     t.beat("m-2");
@@ -866,11 +863,7 @@
     t.submit(live("j-2"));
     t.round();
     t.beat("m-2");
-    let end = End {
-        how: Final::Aborted,
-        at: u64::MAX,
-        done: 0,
-    };
+    let end = aborted(u64::MAX);
     t.s.end_job(&filler, end);
     t.beat("m-1");
     t.beat("m-1");
@@ -971,14 +964,7 @@
     t.round();
     t.beat("m-2");
     t.beat("m-2");
-    t.s.end_job(
-        &first,
-        End {
-            how: Final::Aborted,
-            at: 0,
-            done: 0,
-        },
-    );
+    t.s.end_job(&first, aborted(0));
     t.beat("m-2");
     t.beat("m-2");
     t.commit();
@@ -1097,9 +1083,7 @@
         for second in 1..30 {
             t.wait(1);
             t.s.set_controllers(&controllers, t.now);
-            for i in 1..8 {
-                t.beat(&format!("m-{i}"));
-            }
+            t.beat_some(1..8);
             if !t.s.plan_fleet(t.now, 0).give_back.is_empty() {
                 return second;
             }
@@ -1207,9 +1191,7 @@
     t.wait(5);
     assert_eq!(runs(&unheard(&mut t, "m-1", 2)), 0, "two in a row do");
     t.wait(1);
-    for i in 2..9 {
-        t.beat(&format!("m-{i}"));
-    }
+    t.beat_some(2..9);
     assert_eq!(t.workers["m-2"].running(), 1, "its start was proven lost");
     // A task that it does run, and that must stop, is lost on deaf ears as well; then the machine is given back.
     let stuck = t.submit(spec("j-2", 40));
@@ -1223,22 +1205,13 @@
         t.workers["m-1"].running() > 0,
         "answers arrive again, so it takes offers again"
     );
-    t.s.end_job(
-        &stuck,
-        End {
-            how: Final::Aborted,
-            at: 0,
-            done: 0,
-        },
-    );
+    t.s.end_job(&stuck, aborted(0));
     let mut waited = 0;
     while t.s.plan_fleet(t.now, 0).give_back.is_empty() {
         t.wait(5);
         waited += 5;
         unheard(&mut t, "m-1", waited);
-        for i in 2..9 {
-            t.beat(&format!("m-{i}"));
-        }
+        t.beat_some(2..9);
         assert!(
             waited <= 30,
             "its reports must not count as signs of life for ever"
@@ -1263,14 +1236,7 @@
     let job = t.submit(spec("j-1", 16));
     t.round();
     t.beat_all();
-    t.s.end_job(
-        &job,
-        End {
-            how: Final::Aborted,
-            at: 0,
-            done: 0,
-        },
-    );
+    t.s.end_job(&job, aborted(0));
     for second in (0..30).step_by(5) {
         t.wait(5);
         for i in 0..8 {
@@ -1477,11 +1443,7 @@
     t.beat_all();
     t.beat_all();
     assert_eq!(t.running(), 400);
-    let end = End {
-        how: Final::Aborted,
-        at: u64::MAX,
-        done: 0,
-    };
+    let end = aborted(u64::MAX);
     fillers
         .iter()
         .step_by(2)
@@ -1905,14 +1867,7 @@
     let running = t.workers.get_mut("m-1").expect("a worker").report("m-1");
     t.s.on_report(&running, "n-1", t.now);
     assert_eq!(t.s.next_batch(20, 36_000, true), vec![]);
-    t.s.end_job(
-        &job,
-        End {
-            how: Final::Aborted,
-            at: 0,
-            done: 0,
-        },
-    );
+    t.s.end_job(&job, aborted(0));
     t.workers
         .get_mut("m-1")
         .expect("a worker")
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -302,63 +302,76 @@
 
 type Told<'a> = Pin<Box<dyn Future<Output = ()> + 'a>>;
 
-/// Runs a controller with its stand-ins until the story is told.
-fn with_a_controller(story: for<'a> fn(&'a RefCell<Keys>, SocketAddr, SocketAddr) -> Told<'a>) {
-    let ex = LocalExecutor::new();
+/// Where the stand-ins and the controller listen.
+struct Places {
+    state: SocketAddr,
+    cloud: SocketAddr,
+    bind: SocketAddr,
+    internal: SocketAddr,
+}
+
+impl Places {
+    /// One life of the controller, which ends when it is dropped.
+    async fn live(&self, ex: &LocalExecutor<'static>) {
+        let settings = platform(self.bind, self.internal, self.state, self.cloud);
+        let node = Rc::new(Node::new(settings, Settings::default()));
+        controller::run(ex, node).await.unwrap();
+    }
+}
+
+/// Runs the stand-ins until the story is told.
+fn among_stand_ins(
+    story: impl for<'a> FnOnce(&'a LocalExecutor<'static>, &'a RefCell<Keys>, &'a Places) -> Told<'a>,
+) {
+    let ex: LocalExecutor<'static> = LocalExecutor::new();
     let keys: Rc<RefCell<Keys>> = Rc::default();
     let told = async {
         let (state_listener, state_addr) = listen().await;
         let (cloud_listener, cloud_addr) = listen().await;
         let (bind, internal) = free_addrs().await;
+        let places = Places {
+            state: state_addr,
+            cloud: cloud_addr,
+            bind,
+            internal,
+        };
         let k = keys.clone();
         let state_in = stand_in(&ex, state_listener, Rc::new(move |call| state(&k, call)));
         let cloud_in = stand_in(&ex, cloud_listener, Rc::new(cloud));
-        let node = Rc::new(Node::new(
-            platform(bind, internal, state_addr, cloud_addr),
-            Settings::default(),
-        ));
         // Boxed, as the unoptimised futures together are too large for a test's stack.
-        let stand_ins = Box::pin(future::zip(state_in, cloud_in));
-        let controller = Box::pin(async { controller::run(&ex, node).await.unwrap() });
         let service = Box::pin(async {
-            future::zip(stand_ins, controller).await;
+            future::zip(state_in, cloud_in).await;
         });
-        future::or(service, story(&keys, bind, internal)).await;
+        future::or(service, story(&ex, &keys, &places)).await;
     };
     async_io::block_on(ex.run(told));
 }
 
 #[test]
 fn from_submission_to_done_and_what_is_refused() {
-    with_a_controller(|keys, bind, internal| Box::pin(users_story(keys, bind, internal)));
+    among_stand_ins(|ex, keys, places| {
+        let story = users_story(keys, places.bind, places.internal);
+        Box::pin(future::or(places.live(ex), story))
+    });
 }
 
 // Guards against an accepted job that gets no answers for ever: each way in which a poll can end without 200 or 404 ends
 // by itself once its cause is over, with no state left behind that would keep one job, or one controller, from answering.
 #[test]
 fn every_way_a_poll_can_fail_ends_by_itself() {
-    with_a_controller(|keys, bind, _| Box::pin(polls_story(keys, bind)));
+    among_stand_ins(|ex, keys, places| {
+        Box::pin(future::or(places.live(ex), polls_story(keys, places.bind)))
+    });
 }
 
 // Guards against a controller that is back within a fraction of a second: one that led, one that was about to, one whose
 // last write came through after its end. Nobody else is there to lead, and no lease runs out here by itself.
 #[test]
 fn a_controller_back_at_once_leads_again_and_knows_what_it_took() {
-    let ex = LocalExecutor::new();
-    let keys: Rc<RefCell<Keys>> = Rc::default();
-    let told = async {
-        let (state_listener, state_addr) = listen().await;
-        let (cloud_listener, cloud_addr) = listen().await;
-        let (bind, internal) = free_addrs().await;
-        let k = keys.clone();
-        let state_in = stand_in(&ex, state_listener, Rc::new(move |call| state(&k, call)));
-        let cloud_in = stand_in(&ex, cloud_listener, Rc::new(cloud));
-        let lives = Box::pin(async {
+    among_stand_ins(|ex, keys, places| {
+        Box::pin(async move {
             for life in 0..4 {
-                let settings = platform(bind, internal, state_addr, cloud_addr);
-                let node = Rc::new(Node::new(settings, Settings::default()));
-                let controller = Box::pin(async { controller::run(&ex, node).await.unwrap() });
-                future::or(controller, Box::pin(life_story(&keys, bind, life))).await;
+                future::or(places.live(ex), life_story(keys, places.bind, life)).await;
                 if life == 1 {
                     // It ended just as it was elected: the key came to be, and nobody leads by it.
                     let mut keys = keys.borrow_mut();
@@ -372,14 +385,8 @@
                     );
                 }
             }
-        });
-        let stand_ins = Box::pin(future::zip(state_in, cloud_in));
-        let service = Box::pin(async {
-            stand_ins.await;
-        });
-        future::or(service, lives).await;
-    };
-    async_io::block_on(ex.run(told));
+        })
+    });
 }
 
 async fn life_story(keys: &RefCell<Keys>, bind: SocketAddr, life: usize) {
