--- a/src/controller.rs
+++ b/src/controller.rs
@@ -293,8 +293,12 @@
         let leader = self.store.view.borrow().leader.as_ref()?.value.node.clone();
         let members = &self.platform.members;
         let home = members.iter().find(|m| m.node == leader)?;
-        let mut neighbours = members.iter().filter(|m| m.zone == self.platform.zone);
-        let filtered = neighbours.any(|m| !self.answers(&m.node));
+        let mut neighbours = members
+            .iter()
+            .filter(|m| m.zone == self.platform.zone)
+            .peekable();
+        // One that ended proves nothing.
+        let filtered = neighbours.peek().is_some() && !neighbours.any(|m| self.answers(&m.node));
         (home.zone == zone || filtered).then_some(leader)
     }
 
