--- a/src/controller.rs
+++ b/src/controller.rs
@@ -279,17 +279,18 @@
 
     /// Whether this controller reaches neither the state service nor any other controller.
     pub fn is_alone(&self) -> bool {
-        let answered = self.platform.members.iter().any(|m| self.answers(&m.node));
-        !self.store.reachable() && !answered
+        let mut others = self.platform.members.iter().peekable();
+        let has_others = others.peek().is_some();
+        has_others && !self.store.reachable() && !others.any(|m| self.answers(&m.node))
     }
 
     /// Whether this controller can take requests.
     ///
-    /// One that alone can't reach the state service is not ready; in an outage for all of them each stays ready and
-    /// refuses at once, as no other could do better.
+    /// One that alone can't reach the state service, or that reaches nobody at all, is not ready; in an outage for all of
+    /// them each stays ready and refuses at once, as no other could do better.
     pub fn is_ready(&self) -> bool {
         let view = self.store.view.borrow();
-        if !view.loaded || view.flavors.is_none() {
+        if !view.loaded || view.flavors.is_none() || self.is_alone() {
             return false;
         }
         let now = self.clock.now();
@@ -486,3 +487,100 @@
         Timer::after(every.scaled(1, 3).into()).await;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The second of five controllers in zones a, b, a, b, c.
+    fn node(lease_s: f64) -> Node {
+        let member = |i: usize, zone: &str| {
+            format!(
+                "[[members]]\nnode = \"n-{i}\"\nzone = \"{zone}\"\naddress = \"127.0.0.1:{}\"\n",
+                9000 + i
+            )
+        };
+        let members = [(0, "a"), (2, "a"), (3, "b"), (4, "c")].map(|(i, z)| member(i, z));
+        let text = format!(
+            "node = \"n-1\"\nzone = \"b\"\nbind = \"127.0.0.1:1\"\ninternal_addr = \"127.0.0.1:2\"\n{}\
+             [external]\ncloud = \"127.0.0.1:3\"\nstate = \"127.0.0.1:4\"\n[facts]\nsize = 5\n\
+             [facts.workers]\nreport_s = 2.0\nlease_s = {lease_s:.1}\ncancel_s = 44.0\n\
+             [facts.state]\nrps = 70.0\nwrite_rps = 25.0\nvalue_kb = 8.0\ntxn_ops = 20\n\
+             [facts.cloud]\nrps = 3.0\nlist_lag_s = 10.0\n\
+             [facts.machine_limits]\ncore_share = 0.12\nram_mb = 72.0\nmax_sockets = 1500\n",
+            members.concat()
+        );
+        Node::new(
+            Platform::parse(&text).expect("fine settings"),
+            Settings::default(),
+        )
+    }
+
+    fn answer_all(node: &Node) {
+        for i in [0, 2, 3, 4] {
+            node.note_word(&format!("n-{i}"), Knowledge::default());
+        }
+    }
+
+    // Guards against workers that stay with a controller which reaches nobody, while others would serve them; and
+    // against the attempt costing them their lease where they reach no other.
+    #[test]
+    fn a_controller_that_is_alone_hands_its_workers_on_within_their_lease() {
+        let n = node(14.0);
+        let m = MachineId("m-1".into());
+        assert!(!n.is_alone(), "it heard from the state service just now");
+        n.store.forget_answers();
+        assert!(n.is_alone() && !n.is_ready());
+        assert_eq!(
+            n.hand_off(&m, "b"),
+            None,
+            "its lease may be nearly over: it is answered first"
+        );
+        n.note_heard(m.clone());
+        // One silent controller costs five seconds of fourteen: only the one right before this is safe.
+        assert_eq!(n.hand_off(&m, "b"), Some("n-0".into()));
+        n.note_heard(m.clone());
+        assert_eq!(n.hand_off(&m, "b"), None, "back again, it is left in peace");
+        answer_all(&n);
+        assert!(!n.is_alone());
+        // A longer lease bears more tries, a lease that bears none is not risked.
+        let far = node(36.0);
+        far.store.forget_answers();
+        assert_eq!(far.place_before(1, Micros::secs(36)), Some("n-4".into()));
+        assert_eq!(far.place_before(3, Micros::secs(36)), Some("n-2".into()));
+        assert_eq!(far.place_before(0, Micros::secs(8)), None);
+    }
+
+    // Guards against workers waiting for the end of a filter between controllers that they are not behind.
+    #[test]
+    fn behind_a_filter_between_controllers_workers_are_sent_to_the_leader() {
+        let n = node(14.0);
+        let m = MachineId("m-1".into());
+        let lead = |node: &str| {
+            let record = serde_json::json!({"node": node, "incarnation": 1, "lease": 1});
+            let put = n.store.view.borrow_mut().put("r/leader", record, 7);
+            put.expect("a leader");
+        };
+        n.note_heard(m.clone());
+        lead("n-2");
+        answer_all(&n);
+        assert_eq!(
+            n.hand_off(&m, "b"),
+            None,
+            "a cut of zones may keep it from there"
+        );
+        assert_eq!(
+            n.hand_off(&m, "a"),
+            Some("n-2".into()),
+            "its own zone's leader it reaches"
+        );
+        let other = MachineId("m-2".into());
+        n.note_heard(other.clone());
+        n.words.borrow_mut().remove("n-3");
+        assert_eq!(
+            n.hand_off(&other, "b"),
+            Some("n-2".into()),
+            "not even this zone's reach each other"
+        );
+    }
+}
--- a/src/store.rs
+++ b/src/store.rs
@@ -362,6 +362,12 @@
         self.clock.now().since(self.answered.get()) < QUIET_LIMIT
     }
 
+    /// As if the state service had not answered for long.
+    #[cfg(test)]
+    pub fn forget_answers(&self) {
+        self.answered.set(Micros::ZERO);
+    }
+
     /// The state service answered something just now.
     pub fn note_answer(&self) {
         self.answered.set(self.clock.now());
@@ -527,7 +533,10 @@
             let idle = async {
                 Timer::after(PROBE_EVERY.into()).await;
             };
-            wanted.or(idle).await;
+            // Those who came while the last round was under way wait for this one already.
+            if Rc::strong_count(&self.barrier.borrow()) == 1 {
+                wanted.or(idle).await;
+            }
             // Those who come from now on wait for the next round: this one's read may be older than they.
             let round = self.barrier.replace(Rc::default());
             let read = within(Micros::millis(800), self.state.get(Urgency::Now, NOTHING)).await;
@@ -545,7 +554,7 @@
             };
             round.done.set(Some(good));
             round.event.notify(usize::MAX);
-            Timer::after(self.pause.scaled(1, 2).into()).await;
+            Timer::after(self.pause.into()).await;
         }
     }
 }
