--- a/src/scheduler/fold.rs
+++ b/src/scheduler/fold.rs
@@ -83,7 +83,7 @@
             return;
         }
         // Nothing is moved while a controller is missed; but one lost ping does not undo the wait for room to spare.
-        if self.steady_since.is_none() {
+        if self.touch.steady_since.is_none() {
             return;
         }
         let most = 1 + self.fold.replicas / REPLICAS_PER_FOLDING;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -11,6 +11,7 @@
 mod preempt;
 mod quota;
 mod reports;
+mod silence;
 #[cfg(test)]
 mod stories;
 
@@ -133,8 +134,6 @@
     pub answers: bool,
 }
 
-/// How long the doubt that a silent controller casts outlasts its silence.
-const CUT_LINGERS: Micros = Micros::secs(10);
 /// Machines whose images go into one batch.
 const IMAGES_PER_BATCH: usize = 4;
 /// Names of machines that are gone, of which late reports and lists may still speak.
@@ -167,19 +166,9 @@
     fleet: fleet::Fleet,
     fold: fold::Fold,
     fair: fair::Fair,
-    steady_since: Option<Micros>,
-    doubtful_zones: BTreeMap<String, Micros>,
-    two_silent_at: Option<Micros>,
-    /// Controllers that do not answer now or did not lately, and when that was last so.
-    silent_nodes: BTreeMap<String, Micros>,
-    /// Zones of which no controller answers now.
-    closed_zones: BTreeSet<String>,
-    /// When each controller last told by the state service which machines it hears.
-    told: BTreeMap<String, Micros>,
+    touch: silence::Touch,
     notes: Vec<String>,
     details: Vec<String>,
-    /// How many workers this controller may still send to another until the next plan of the fleet.
-    shed: usize,
     /// Offers made in the last round, for bounding and for tests.
     pub offers_made: usize,
 }
@@ -215,15 +204,9 @@
             fleet: fleet::Fleet::default(),
             fold: fold::Fold::default(),
             fair: fair::Fair::default(),
-            steady_since: None,
-            doubtful_zones: BTreeMap::new(),
-            two_silent_at: None,
-            silent_nodes: BTreeMap::new(),
-            closed_zones: BTreeSet::new(),
-            told: BTreeMap::new(),
+            touch: silence::Touch::default(),
             notes: Vec::new(),
             details: Vec::new(),
-            shed: 0,
             offers_made: 0,
         }
     }
@@ -233,36 +216,6 @@
         self.token
     }
 
-    /// Tells which of the other controllers answer this one now. While all answer, workers have no reason to look for
-    /// another.
-    pub fn set_controllers(&mut self, controllers: &[Controller], now: Micros) {
-        let silent: Vec<&Controller> = controllers.iter().filter(|c| !c.answers).collect();
-        let steady = silent.is_empty();
-        self.steady_since = steady.then(|| self.steady_since.unwrap_or(now));
-        self.closed_zones = silent.iter().map(|c| c.zone.clone()).collect();
-        for other in controllers.iter().filter(|c| c.answers) {
-            self.closed_zones.remove(&other.zone);
-        }
-        for c in &silent {
-            self.doubtful_zones.insert(c.zone.clone(), now);
-            self.silent_nodes.insert(c.node.clone(), now);
-        }
-        if silent.len() >= 2 {
-            self.two_silent_at = Some(now);
-        }
-        // After a cut workers still need a while to come back.
-        self.doubtful_zones
-            .retain(|_, at| now.since(*at) < CUT_LINGERS);
-        self.silent_nodes
-            .retain(|_, at| now.since(*at) < CUT_LINGERS);
-        self.two_silent_at = self.two_silent_at.filter(|at| now.since(*at) < CUT_LINGERS);
-    }
-
-    /// Another controller misses one that answers here: workers beyond that cut look for another as well.
-    pub fn end_calm(&mut self) {
-        self.steady_since = None;
-    }
-
     /// What happened since the last call, in words for the log: for the people on call, and in detail.
     pub fn take_notes(&mut self) -> (Vec<String>, Vec<String>) {
         (
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -489,7 +489,7 @@
 
     /// Another controller hears these machines though their reports can't get here: they are alive.
     pub fn on_heard(&mut self, node: &str, machines: &[MachineId], now: Micros) {
-        self.told.insert(node.to_owned(), now);
+        self.touch.told.insert(node.to_owned(), now);
         for id in machines {
             if let Some(m) = self.machines.get_mut(id) {
                 m.heard_at = now;
--- /dev/null
+++ b/src/scheduler/silence.rs
@@ -0,0 +1,293 @@
+//! Who is out of touch, and since when: which silent machines are dead, and which are only out of reach.
+
+use super::*;
+
+/// How long the doubt that a silent controller casts outlasts its silence.
+const CUT_LINGERS: Micros = Micros::secs(10);
+/// How long a worker waits for an answer, and then before it tries the next controller.
+const WORKER_MOVES_ON: Micros = Micros::secs(5);
+/// Until it is seen that a controller does not answer; sooner a silent machine can't be told from a broken way.
+const NOTICED_WITHIN: Micros = Micros::secs(2);
+/// How long another controller may need to tell that it hears a machine.
+const TOLD_WITHIN: Micros = Micros::secs(2);
+/// How long a machine given up for its silence counts as silent, so that a cut is not eaten up bit by bit.
+const GIVEN_UP_COUNTS: Micros = Micros::secs(30);
+/// How long a machine behind a cut is waited for; the machine list tells sooner if it died.
+const CUT_LASTS: Micros = Micros::secs(180);
+/// A machine whose report is late by this is out of touch.
+const OUT_OF_TOUCH: Micros = Micros::secs(1);
+/// All must have been well for so long before workers are sent to other controllers.
+const SHED_AFTER: Micros = Micros::secs(20);
+/// Of so many workers too many, one is sent away in one plan.
+const SHED_OF: usize = 10;
+
+/// How many machines are silent, those given up lately included; ordinary and spot ones.
+#[derive(Debug, Default)]
+struct Silence {
+    all: usize,
+    quiet: [usize; 2],
+}
+
+impl Silence {
+    fn add(&mut self, spot: bool, quiet: bool) {
+        self.all += 1;
+        self.quiet[usize::from(spot)] += usize::from(quiet);
+    }
+
+    /// Whether so few of the kind are silent that each may have died by itself.
+    fn is_few(&self, spot: bool) -> bool {
+        self.quiet[usize::from(spot)] <= (self.all / 4).max(2)
+    }
+}
+
+/// What the scheduler knows of the ways on which reports come.
+#[derive(Debug, Default)]
+pub(super) struct Touch {
+    /// Since when all controllers have been well.
+    pub(super) steady_since: Option<Micros>,
+    doubtful_zones: BTreeMap<String, Micros>,
+    two_silent_at: Option<Micros>,
+    /// Controllers that do not answer now or did not lately, and when that was last so.
+    silent_nodes: BTreeMap<String, Micros>,
+    /// Zones of which no controller answers now.
+    closed_zones: BTreeSet<String>,
+    /// When each controller last told by the state service which machines it hears.
+    pub(super) told: BTreeMap<String, Micros>,
+    /// Machines given up for their silence lately: when, zone and whether spot.
+    given_up: VecDeque<(Micros, String, bool)>,
+    /// How many workers this controller may still send to another until the next plan of the fleet.
+    pub(super) shed: usize,
+}
+
+impl Scheduler {
+    /// Tells which of the other controllers answer this one now. While all answer, workers have no reason to look for
+    /// another.
+    pub fn set_controllers(&mut self, controllers: &[Controller], now: Micros) {
+        let silent: Vec<&Controller> = controllers.iter().filter(|c| !c.answers).collect();
+        let steady = silent.is_empty();
+        self.touch.steady_since = steady.then(|| self.touch.steady_since.unwrap_or(now));
+        self.touch.closed_zones = silent.iter().map(|c| c.zone.clone()).collect();
+        for other in controllers.iter().filter(|c| c.answers) {
+            self.touch.closed_zones.remove(&other.zone);
+        }
+        for c in &silent {
+            self.touch.doubtful_zones.insert(c.zone.clone(), now);
+            self.touch.silent_nodes.insert(c.node.clone(), now);
+        }
+        if silent.len() >= 2 {
+            self.touch.two_silent_at = Some(now);
+        }
+        // After a cut workers still need a while to come back.
+        self.touch
+            .doubtful_zones
+            .retain(|_, at| now.since(*at) < CUT_LINGERS);
+        self.touch
+            .silent_nodes
+            .retain(|_, at| now.since(*at) < CUT_LINGERS);
+        self.touch.two_silent_at = self
+            .touch
+            .two_silent_at
+            .filter(|at| now.since(*at) < CUT_LINGERS);
+    }
+
+    /// Another controller misses one that answers here: workers beyond that cut look for another as well.
+    pub fn end_calm(&mut self) {
+        self.touch.steady_since = None;
+    }
+
+    /// How many of the workers that report to this controller itself should go to another, once all is well again.
+    ///
+    /// Guards against a leader that keeps every worker of a large fleet after a filter between controllers: it would
+    /// carry all the work, and all would have to find another controller at once when it fails.
+    pub(super) fn workers_to_shed(&self, now: Micros) -> usize {
+        let calm = self
+            .touch
+            .steady_since
+            .is_some_and(|t| now.since(t) > SHED_AFTER);
+        if !calm || self.knobs.controllers < 2 {
+            return 0;
+        }
+        let own = self
+            .machines
+            .values()
+            .filter(|m| m.in_touch && m.via.is_empty());
+        let fair = self.machines.len() * 2 / self.knobs.controllers;
+        own.count().saturating_sub(fair).div_ceil(SHED_OF)
+    }
+
+    /// Whether a worker that just reported here should report elsewhere.
+    pub fn sheds_worker(&mut self) -> bool {
+        let sheds = self.touch.shed > 0;
+        self.touch.shed -= usize::from(sheds);
+        sheds
+    }
+
+    /// Machines whose reports do not get here take no offers, and what was not sent to them yet goes elsewhere.
+    ///
+    /// Guards against tasks that wait behind a cut, on machines that only another controller hears, while others have
+    /// room.
+    pub(super) fn lose_touch(&mut self, now: Micros) {
+        let limit = self.knobs.report.scaled(5, 4) + OUT_OF_TOUCH;
+        let mut waiting = Vec::new();
+        for m in self.machines.values_mut() {
+            if m.in_touch && now.since(m.reported_at) > limit {
+                m.in_touch = false;
+                waiting.extend(m.held.keys().cloned());
+            }
+        }
+        for task in waiting {
+            let job = self.jobs.get(&task.job);
+            let p = job.and_then(|j| j.placement(task.index));
+            if p.is_some_and(|p| !p.inherited && p.sent.is_none()) {
+                self.release(&task.job, task.index);
+                self.requeue(&task.job, now);
+            }
+        }
+    }
+
+    /// Machines that are lost, silent or stuck are given back, as only then their tasks may run elsewhere.
+    pub(super) fn give_up_lost(&mut self, now: Micros) {
+        let mut give_up: Vec<(MachineId, &str)> = Vec::new();
+        for (id, m) in &self.machines {
+            if m.life == Life::Returning {
+                continue;
+            }
+            let boot = self
+                .flavors
+                .get(&m.rig)
+                .map_or(Micros::secs(60), Flavor::boot);
+            if m.lost {
+                give_up.push((id.clone(), "lost"));
+            } else if m.life == Life::Booting
+                && m.held.is_empty()
+                && now.since(m.since) > boot.scaled(17, 10) + Micros::secs(3)
+                && now.since(m.heard_at) > boot.scaled(1, 2)
+            {
+                give_up.push((id.clone(), "stuck"));
+            }
+        }
+        self.touch
+            .given_up
+            .retain(|(at, _, _)| now.since(*at) < GIVEN_UP_COUNTS);
+        self.excuse_cut_off(now);
+        give_up.extend(self.silent(now).into_iter().map(|id| (id, "silent")));
+        for (id, mut why) in give_up {
+            let Some(m) = self.machines.get_mut(&id) else {
+                continue;
+            };
+            m.life = Life::Returning;
+            if why == "silent" {
+                if m.is_deaf() {
+                    why = "deaf";
+                }
+                let given_up = (now, m.zone.clone(), m.spot);
+                self.touch.given_up.push_back(given_up);
+            }
+            let tasks: Vec<String> = m.held.keys().map(TaskId::to_string).collect();
+            let quiet = now.since(m.heard_at);
+            self.notes.push(format!(
+                "event=machine_vanished machine={id} why={why} zone={} spot={} quiet={quiet} tasks=[{}]",
+                m.zone,
+                m.spot,
+                tasks.join(",")
+            ));
+        }
+    }
+
+    /// Machines silent for so long that they count as dead.
+    ///
+    /// Guards against taking a cut, or a controller's own trouble, for deaths: when much of a zone, or of all, falls
+    /// silent together, it is given up only once the workers' leases are over; a wave of taken spot machines excepted.
+    fn silent(&self, now: Micros) -> Vec<MachineId> {
+        let step = self.knobs.report.scaled(5, 4) + Micros::secs(1);
+        let two_moves = step + WORKER_MOVES_ON.scaled(2, 1);
+        let steady = self
+            .touch
+            .steady_since
+            .is_some_and(|t| now.since(t) > two_moves);
+        // A worker whose controller is out of reach needs a while to find another one; where the way to
+        // its zone, or to two controllers, is broken it may have to try two in vain.
+        let patience = |m: &Machine| {
+            if steady {
+                step + NOTICED_WITHIN
+            } else if self.touch.two_silent_at.is_some()
+                || self.touch.doubtful_zones.contains_key(&m.zone)
+                || self.touch.silent_nodes.contains_key(&m.via)
+            {
+                two_moves + TOLD_WITHIN
+            } else {
+                step + WORKER_MOVES_ON + TOLD_WITHIN
+            }
+        };
+        let lease = self.knobs.lease + step;
+        let counted = |m: &Machine| m.life == Life::Up || !m.held.is_empty();
+        // Once a cut is over, workers need as long as ever to be heard.
+        let quiet = |m: &Machine| now.since(m.heard_at.max(m.excused_at));
+        let is_late = |m: &Machine| quiet(m) > patience(m);
+        // Many of one controller's workers late together: the way through it is troubled, though it answers pings.
+        let mut ways: BTreeMap<&str, Silence> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| counted(m)) {
+            ways.entry(&m.via).or_default().add(false, is_late(m));
+        }
+        let is_quiet = |m: &Machine| {
+            let troubled = ways.get(m.via.as_str()).is_some_and(|w| !w.is_few(false));
+            is_late(m) && (!troubled || quiet(m) > two_moves + TOLD_WITHIN)
+        };
+        let mut zones: BTreeMap<&str, Silence> = BTreeMap::new();
+        let mut all = Silence::default();
+        for m in self.machines.values().filter(|m| counted(m)) {
+            zones.entry(&m.zone).or_default().add(m.spot, is_quiet(m));
+            all.add(m.spot, is_quiet(m));
+        }
+        for (_, zone, spot) in &self.touch.given_up {
+            zones.entry(zone).or_default().add(*spot, true);
+            all.add(*spot, true);
+        }
+        let mut silent = Vec::new();
+        for (id, m) in &self.machines {
+            if m.life == Life::Returning || !counted(m) || !is_quiet(m) {
+                continue;
+            }
+            let zone = &zones[m.zone.as_str()];
+            let few = zone.is_few(m.spot) && all.is_few(m.spot);
+            let wave = m.spot && zone.quiet[0] == 0 && all.is_few(false);
+            let noticed = m.notice.is_some_and(|t| t < now);
+            if few || wave || noticed || quiet(m) > lease.max(two_moves) {
+                silent.push(id.clone());
+            }
+        }
+        silent
+    }
+
+    /// Notes which machines need not be heard now.
+    fn excuse_cut_off(&mut self, now: Micros) {
+        let cut_off = |m: &Machine| self.is_cut_off(m, now) && now.since(m.heard_at) < CUT_LASTS;
+        let excused: Vec<MachineId> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| cut_off(m))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in excused {
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.excused_at = now;
+            }
+        }
+    }
+
+    /// Whether a machine is silent because the controller that it reports to is: that one keeps its lease alive, and
+    /// the machine list tells if it dies all the same.
+    ///
+    /// Guards against giving up what runs well behind a cut, or with a controller that lost everything but its workers.
+    fn is_cut_off(&self, m: &Machine, now: Micros) -> bool {
+        let tells = |node: &str| {
+            let told = self.touch.told.get(node);
+            told.is_some_and(|at| now.since(*at) < self.knobs.report.scaled(2, 1) + TOLD_WITHIN)
+        };
+        let silent_now = |node: &str| {
+            let silent = self.touch.silent_nodes.get(node);
+            silent.is_some_and(|at| now.since(*at) < TOLD_WITHIN)
+        };
+        (silent_now(&m.via) && !tells(&m.via)) || self.touch.closed_zones.contains(&m.zone)
+    }
+}
