A way that stops as a whole is no death of its machines; a standstill is no silence

Now the reports of each way (controller and zone) are looked at together: where none came for a second and eight usual gaps, its machines have the time of two moves. Ruled out: the list (no 'lost' among them), leases (none ran out), another leader (none was elected). With it, found by reading: a leader that stood still and leads on, as after an outage, would have given up every machine for its own sleep; it went on with returns decided before; and answers of before a standstill were still sent. Stories for both.

--- a/src/http.rs
+++ b/src/http.rs
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 use thiserror::Error;
 
 /// The largest request body that the protocol allows.
@@ -26,6 +27,8 @@
 const IDLE_WITHIN: Micros = Micros::secs(60);
 /// How long a peer may take to accept an answer.
 const WRITE_WITHIN: Micros = Micros::secs(10);
+/// Nobody waits for an answer for longer than this: a submission's user waits five seconds, all others less.
+const ANSWER_WITHIN: Micros = Micros::secs(5);
 /// Idle connections that a client keeps.
 const MAX_IDLE: usize = 8;
 
@@ -239,7 +242,8 @@
 /// Serves one connection until it ends, idles too long or breaks the protocol.
 ///
 /// Guards against: heads without an end ([`Bounded`]), bodies over the limit (refused before they are read), heads or bodies that trickle in (bounded
-/// time), readers that do not take their answer (bounded time).
+/// time), readers that do not take their answer (bounded time), answers from before a standstill of this process, which
+/// by then are out of date (not sent).
 pub async fn serve<F, Fut>(stream: TcpStream, handle: F)
 where
     F: Fn(Call) -> Fut,
@@ -251,6 +255,7 @@
         if !matches!(first, Some(Ok(true))) {
             return;
         }
+        let began = Instant::now();
         let bounded = Bounded {
             stream: stream.clone(),
             left: Arc::new(AtomicUsize::new(MAX_HEAD + MAX_BODY)),
@@ -281,7 +286,8 @@
             // The rest of the body is not read, so the connection can't go on.
             Err(refusal) => (refusal, true),
         };
-        if !send(&stream, reply, method, close).await || close {
+        let is_late = began.elapsed() > Duration::from(ANSWER_WITHIN);
+        if is_late || !send(&stream, reply, method, close).await || close {
             return;
         }
     }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -32,6 +32,10 @@
 const RETRY_PAUSE: Micros = Micros::millis(120);
 /// Room left in a transaction of 64 KiB for its conditions.
 const BATCH_BYTES: usize = 36 * 1024;
+/// How often this process looks whether it stood still.
+const PULSE_EVERY: Micros = Micros::millis(100);
+/// A pulse so late means that it did.
+const STOOD_STILL: Micros = Micros::secs(1);
 /// How often the fleet is looked at.
 const FLEET_EVERY: Micros = Micros::millis(500);
 /// How often the machine types are read.
@@ -54,6 +58,7 @@
     round_ended: Event,
     rentals: RefCell<BTreeMap<String, RentalRecord>>,
     charters: Cell<u64>,
+    pulse: Cell<Micros>,
 }
 
 impl Leading {
@@ -92,6 +97,7 @@
             round_ended: Event::new(),
             rentals: RefCell::new(rentals),
             charters: Cell::new(0),
+            pulse: Cell::new(now),
         }
     }
 
@@ -126,6 +132,15 @@
         within(ROUND_WITHIN, wait).await;
     }
 
+    /// Looks whether this process stood still: then it heard nobody, whoever spoke.
+    fn look_for_standstill(&self, now: Micros) {
+        let gap = now.since(self.pulse.replace(now));
+        if gap > STOOD_STILL {
+            info!("event=stood_still token={} for={gap}", self.token());
+            self.scheduler.borrow_mut().stood_still(now);
+        }
+    }
+
     fn leader_condition(&self) -> Condition {
         Condition {
             key: LEADER.into(),
@@ -142,6 +157,7 @@
         .set_share(limits.rps / 2.0, limits.write_rps / 2.0);
     let duties = rounds(node, leading)
         .or(news(node, leading))
+        .or(pulse(node, leading))
         .or(flavors(node, leading))
         .or(listing(node, leading))
         .or(fleet(node, leading));
@@ -156,6 +172,14 @@
     }
 }
 
+/// The duty that notices when this process stood still.
+async fn pulse(node: &Node, leading: &Leading) -> &'static str {
+    loop {
+        leading.look_for_standstill(node.clock.now());
+        Timer::after(PULSE_EVERY.into()).await;
+    }
+}
+
 /// The duty that runs the rounds.
 async fn rounds(node: &Node, leading: &Leading) -> &'static str {
     loop {
@@ -461,6 +485,7 @@
     loop {
         Timer::after(FLEET_EVERY.into()).await;
         let now = node.clock.now();
+        leading.look_for_standstill(now);
         if !leading.may_order(now) {
             continue;
         }
@@ -480,6 +505,10 @@
 
 async fn give_back(node: &Node, leading: &Leading, machines: &[MachineId]) {
     for part in machines.chunks(MAX_RETURN) {
+        // Guards against a leader that stood still or was cut off in between: by now another may use these machines.
+        if !leading.may_order(node.clock.now()) {
+            return;
+        }
         match node.cloud.give_back(part).await {
             Ok(()) => {
                 info!("event=machines_returned count={}", part.len());
--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -844,6 +844,11 @@
         self.held.is_empty() && self.extra.is_empty()
     }
 
+    /// Whether its silence would mean something: it is up, or should hold tasks.
+    pub fn is_counted(&self) -> bool {
+        self.life == Life::Up || !self.held.is_empty()
+    }
+
     /// Whether it may be offered tasks, room aside.
     pub fn takes_offers(&self) -> bool {
         self.life == Life::Up
--- a/src/scheduler/silence.rs
+++ b/src/scheduler/silence.rs
@@ -2,8 +2,11 @@
 
 use super::*;
 
-/// How long the doubt that a silent controller casts outlasts its silence.
+/// How long the doubt that a silent controller, or a stopped way, casts outlasts its silence.
 const CUT_LINGERS: Micros = Micros::secs(10);
+/// A way on which no report came for this, and for so many of its usual gaps, is stopped.
+const STOPPED_AFTER: Micros = Micros::secs(1);
+const STOPPED_GAPS: u64 = 8;
 /// How long a worker waits for an answer, and then before it tries the next controller.
 const WORKER_MOVES_ON: Micros = Micros::secs(5);
 /// Until it is seen that a controller does not answer; sooner a silent machine can't be told from a broken way.
@@ -53,6 +56,8 @@
     closed_zones: BTreeSet<String>,
     /// When each controller last told by the state service which machines it hears.
     pub(super) told: BTreeMap<String, Micros>,
+    /// Ways, from the machines of a zone through a controller, that are stopped or were lately, and when that was last so.
+    stopped: BTreeMap<(String, String), Micros>,
     /// Machines given up for their silence lately: when, zone and whether spot.
     given_up: VecDeque<(Micros, String, bool)>,
     /// How many workers this controller may still send to another until the next plan of the fleet.
@@ -170,6 +175,7 @@
             .given_up
             .retain(|(at, _, _)| now.since(*at) < GIVEN_UP_COUNTS);
         self.excuse_cut_off(now);
+        self.note_stopped_ways(now);
         give_up.extend(self.silent(now).into_iter().map(|id| (id, "silent")));
         for (id, mut why) in give_up {
             let Some(m) = self.machines.get_mut(&id) else {
@@ -194,6 +200,39 @@
         }
     }
 
+    /// Notes the ways on which no report comes any more, though many used to.
+    ///
+    /// Guards against what gave up 235 live machines within two seconds: a leader that held most of a large fleet's
+    /// workers lost them all at once, and a quarter of them was past its time before the quarter stood out.
+    pub(super) fn note_stopped_ways(&mut self, now: Micros) {
+        let mut ways: BTreeMap<(&str, &str), (u64, Micros)> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| m.is_counted()) {
+            let (workers, last) = ways.entry((&m.via, &m.zone)).or_default();
+            *workers += 1;
+            *last = m.reported_at.max(*last);
+        }
+        let stopped = ways.into_iter().filter(|(_, (workers, last))| {
+            let gaps = self.knobs.report.scaled(STOPPED_GAPS, *workers);
+            now.since(*last) > STOPPED_AFTER + gaps
+        });
+        let stopped = stopped.map(|((via, zone), _)| ((via.to_owned(), zone.to_owned()), now));
+        self.touch.stopped.extend(stopped);
+        self.touch
+            .stopped
+            .retain(|_, at| now.since(*at) < CUT_LINGERS);
+    }
+
+    /// The leader itself stood still: silence from before that is its own.
+    ///
+    /// Guards against a leader that slept through much of its workers' leases and still leads, as it may after an outage
+    /// of the state service: it would give up the whole fleet for a silence in which it heard nothing.
+    pub fn stood_still(&mut self, now: Micros) {
+        for m in self.machines.values_mut() {
+            m.excused_at = now;
+            m.reported_at = now;
+        }
+    }
+
     /// Machines silent for so long that they count as dead.
     ///
     /// Guards against taking a cut, or a controller's own trouble, for deaths: when much of a zone, or of all, falls
@@ -208,25 +247,24 @@
         // A worker whose controller is out of reach needs a while to find another one; where the way to
         // its zone, or to two controllers, is broken it may have to try two in vain.
         let patience = |m: &Machine| {
-            if steady {
-                step + NOTICED_WITHIN
-            } else if self.touch.two_silent_at.is_some()
+            let far = self.touch.two_silent_at.is_some()
                 || self.touch.doubtful_zones.contains_key(&m.zone)
-                || self.touch.silent_nodes.contains_key(&m.via)
-            {
+                || self.touch.silent_nodes.contains_key(&m.via);
+            if self.is_way_stopped(m) || (far && !steady) {
                 two_moves + TOLD_WITHIN
+            } else if steady {
+                step + NOTICED_WITHIN
             } else {
                 step + WORKER_MOVES_ON + TOLD_WITHIN
             }
         };
         let lease = self.knobs.lease + step;
-        let counted = |m: &Machine| m.life == Life::Up || !m.held.is_empty();
         // Once a cut is over, workers need as long as ever to be heard.
         let quiet = |m: &Machine| now.since(m.heard_at.max(m.excused_at));
         let is_late = |m: &Machine| quiet(m) > patience(m);
         // Many of one controller's workers late together: the way through it is troubled, though it answers pings.
         let mut ways: BTreeMap<&str, Silence> = BTreeMap::new();
-        for m in self.machines.values().filter(|m| counted(m)) {
+        for m in self.machines.values().filter(|m| m.is_counted()) {
             ways.entry(&m.via).or_default().add(false, is_late(m));
         }
         let is_quiet = |m: &Machine| {
@@ -235,7 +273,7 @@
         };
         let mut zones: BTreeMap<&str, Silence> = BTreeMap::new();
         let mut all = Silence::default();
-        for m in self.machines.values().filter(|m| counted(m)) {
+        for m in self.machines.values().filter(|m| m.is_counted()) {
             zones.entry(&m.zone).or_default().add(m.spot, is_quiet(m));
             all.add(m.spot, is_quiet(m));
         }
@@ -245,7 +283,7 @@
         }
         let mut silent = Vec::new();
         for (id, m) in &self.machines {
-            if m.life == Life::Returning || !counted(m) || !is_quiet(m) {
+            if m.life == Life::Returning || !m.is_counted() || !is_quiet(m) {
                 continue;
             }
             let zone = &zones[m.zone.as_str()];
@@ -259,6 +297,11 @@
         silent
     }
 
+    fn is_way_stopped(&self, m: &Machine) -> bool {
+        let way = (m.via.clone(), m.zone.clone());
+        self.touch.stopped.contains_key(&way)
+    }
+
     /// Notes which machines need not be heard now.
     fn excuse_cut_off(&mut self, now: Micros) {
         let cut_off = |m: &Machine| self.is_cut_off(m, now) && now.since(m.heard_at) < CUT_LASTS;
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -1556,6 +1556,58 @@
     }
 }
 
+// Guards against what gave up 235 live machines: the leader held most workers of a large fleet, lost the way to all of
+// them, and every one of them late by a few seconds was taken to have died while the others were not late yet.
+#[test]
+fn a_way_that_stops_as_a_whole_is_no_death_of_its_machines() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    let via = |i: usize| if i.is_multiple_of(10) { "n-1" } else { "" };
+    for i in 0..300 {
+        t.via = via(i);
+        t.worker(&format!("m-{i:03}"), ["a", "b"][i % 2], false);
+    }
+    let controllers = [controller("n-0", "a", true), controller("n-1", "b", true)];
+    let mut given = Vec::new();
+    for second in 0..60 {
+        t.wait(1);
+        t.s.set_controllers(&controllers, t.now);
+        // From the 30th second on the leader hears its own workers no more; they find the other one after 12 s. One
+        // that reports there died at the same time.
+        let lost = |i: usize| via(i).is_empty() && second < 42 || i == 10;
+        for i in (0..300).filter(|i| i % 3 == second % 3 && (second < 30 || !lost(*i))) {
+            t.via = if second < 30 { via(i) } else { "n-1" };
+            t.beat(&format!("m-{i:03}"));
+        }
+        let plan = t.s.plan_fleet(t.now, 0);
+        given.extend(plan.give_back.iter().map(|m| (m.clone(), second)));
+        t.s.returned(&plan.give_back, t.now);
+    }
+    assert_eq!(given, vec![(MachineId("m-010".into()), 35)]);
+}
+
+// Guards against a leader that stood still for longer than a lease and still leads, as after an outage: what it did not
+// hear meanwhile is no silence.
+#[test]
+fn a_leader_that_stood_still_gives_nobody_up_for_it() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    for i in 0..20 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    t.wait(50);
+    t.s.stood_still(t.now);
+    for _ in 0..6 {
+        assert_eq!(t.s.plan_fleet(t.now, 0).give_back, vec![]);
+        t.wait(1);
+    }
+    t.beat_some(1..20);
+    t.wait(15);
+    t.beat_some(1..20);
+    let given = t.s.plan_fleet(t.now, 0).give_back;
+    assert_eq!(given, vec![MachineId("m-0".into())], "silent since");
+}
+
 // Guards against tasks that wait for the end of a cut on machines beyond it, while machines on this side have room.
 #[test]
 fn what_was_not_sent_to_a_machine_out_of_touch_goes_elsewhere() {
