--- a/src/controller.rs
+++ b/src/controller.rs
@@ -333,6 +333,20 @@
         has_others && !self.store.reachable() && !others.any(|m| self.answers(&m.node))
     }
 
+    /// Most connections that are accepted: some sockets are kept back for the state service, the cloud and the other
+    /// controllers.
+    fn sockets_for_others(&self) -> usize {
+        self.platform.facts.machine_limits.max_sockets * 4 / 5
+    }
+
+    /// Whether sockets are getting short, so that connections of users end with each answer and idle ones end soon.
+    ///
+    /// Guards against users' connections keeping out workers, as after a filter between controllers, when the leader may
+    /// have to take every worker of the fleet.
+    pub fn is_crowded(&self) -> bool {
+        self.connections.get() > self.sockets_for_others() * 3 / 4
+    }
+
     /// Whether this controller can take requests.
     ///
     /// One that alone can't reach the state service, or that reaches nobody at all, is not ready; in an outage for all of
@@ -397,7 +411,10 @@
     let n = node.clone();
     let face_work = accept(ex, faces, node.clone(), move |stream| {
         let n = n.clone();
-        async move { http::serve(stream, |call| route(n.clone(), call)).await }
+        async move {
+            let crowded = || n.is_crowded();
+            http::serve(stream, crowded, |call| route(n.clone(), call)).await
+        }
     });
     futures_lite::future::zip(ex2.run(internal_work), face_work).await;
     Ok(())
@@ -410,8 +427,7 @@
     Fut: Future<Output = ()> + 'a,
     Rc<Node>: 'a,
 {
-    // Some sockets are kept back for the state service, the cloud and the other controllers.
-    let most = node.platform.facts.machine_limits.max_sockets * 4 / 5;
+    let most = node.sockets_for_others();
     loop {
         match listener.accept().await {
             Ok((stream, _)) if node.connections.get() < most => {
@@ -437,7 +453,10 @@
     if call.path == "/checkin" {
         workers::answer(&node, &call).await
     } else {
-        users::answer(&node, &call).await
+        let reply = users::answer(&node, &call).await;
+        // Users come back through the load balancer, workers would have to look for another controller.
+        let close = reply.close || node.is_crowded();
+        Reply { close, ..reply }
     }
 }
 
@@ -543,6 +562,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use http_types::Method;
 
     /// The second of five controllers in zones a, b, a, b, c.
     fn node(lease_s: f64) -> Node {
@@ -635,4 +655,20 @@
             "not even this zone's reach each other"
         );
     }
+
+    // Guards against users' connections keeping out the workers of a fleet that all come to one controller.
+    #[test]
+    fn where_sockets_are_short_connections_of_users_end_with_each_answer() {
+        let node = Rc::new(node(14.0));
+        let call = |method, path: &str| Call {
+            method,
+            path: path.into(),
+            body: Vec::new(),
+        };
+        let closes = |call| async_io::block_on(route(node.clone(), call)).close;
+        assert!(!closes(call(Method::Get, "/ready")));
+        node.connections.set(node.sockets_for_others());
+        assert!(closes(call(Method::Get, "/ready")));
+        assert!(!closes(call(Method::Post, "/checkin")));
+    }
 }
--- a/src/http.rs
+++ b/src/http.rs
@@ -23,8 +23,9 @@
 const MAX_HEAD: usize = 32 * 1024;
 /// How long a connection may take to send a request's head, or its body.
 const READ_WITHIN: Micros = Micros::secs(10);
-/// How long a connection may stand idle between requests.
+/// How long a connection may stand idle between requests, and how long where sockets are short.
 const IDLE_WITHIN: Micros = Micros::secs(60);
+const IDLE_IF_CROWDED: Micros = Micros::secs(20);
 /// How long a peer may take to accept an answer.
 const WRITE_WITHIN: Micros = Micros::secs(10);
 /// Nobody waits for an answer for longer than this: a submission's user waits five seconds, all others less.
@@ -199,6 +200,8 @@
     pub body: Vec<u8>,
     /// When to come back, in whole seconds.
     pub retry_after: Option<u64>,
+    /// Whether the connection ends with this answer.
+    pub close: bool,
 }
 
 impl Reply {
@@ -208,6 +211,7 @@
             status,
             body: serde_json::to_vec(value).unwrap_or_default(),
             retry_after: None,
+            close: false,
         }
     }
 
@@ -224,7 +228,7 @@
         }
     }
 
-    fn into_response(self, close: bool) -> Response {
+    fn into_response(self) -> Response {
         let code = StatusCode::try_from(self.status).unwrap_or(StatusCode::InternalServerError);
         let mut response = Response::new(code);
         response.set_body(self.body);
@@ -232,7 +236,7 @@
         if let Some(seconds) = self.retry_after {
             response.insert_header("Retry-After", seconds.to_string());
         }
-        if close {
+        if self.close {
             response.insert_header(CONNECTION, "close");
         }
         response
@@ -244,53 +248,79 @@
 /// Guards against: heads without an end ([`Bounded`]), bodies over the limit (refused before they are read), heads or bodies that trickle in (bounded
 /// time), readers that do not take their answer (bounded time), answers from before a standstill of this process, which
 /// by then are out of date (not sent).
-pub async fn serve<F, Fut>(stream: TcpStream, handle: F)
+pub async fn serve<F, Fut>(stream: TcpStream, crowded: impl Fn() -> bool, handle: F)
 where
     F: Fn(Call) -> Fut,
     Fut: Future<Output = Reply>,
 {
     let _ = stream.set_nodelay(true);
-    loop {
-        let first = within(IDLE_WITHIN, peek(&stream)).await;
-        if !matches!(first, Some(Ok(true))) {
+    while is_spoken_on(&stream, &crowded).await {
+        // On the heap, so that a connection takes this room only while it has a request: it is ten times what an idle one
+        // needs, and a controller may hold the workers of a whole fleet.
+        if !Box::pin(answer_one(&stream, &handle)).await {
             return;
         }
-        let began = Instant::now();
-        let bounded = Bounded {
-            stream: stream.clone(),
-            left: Arc::new(AtomicUsize::new(MAX_HEAD + MAX_BODY)),
-        };
-        let decoded = within(READ_WITHIN, async_h1::server::decode(bounded)).await;
-        let mut request = match decoded {
-            Some(Ok(Some((request, _)))) => request,
-            Some(Err(_)) => {
-                let refusal = Reply::error(400, "malformed request");
-                send(&stream, refusal, Method::Get, true).await;
-                return;
-            }
-            _ => return,
-        };
-        let method = request.method();
-        let asked_close = request
-            .header(CONNECTION)
-            .is_some_and(|c| c.as_str().eq_ignore_ascii_case("close"));
-        let (reply, close) = match read_body(&mut request).await {
-            Ok(body) => {
-                let call = Call {
-                    method,
-                    path: request.url().path().to_owned(),
-                    body,
-                };
-                (handle(call).await, asked_close)
-            }
-            // The rest of the body is not read, so the connection can't go on.
-            Err(refusal) => (refusal, true),
-        };
-        let is_late = began.elapsed() > Duration::from(ANSWER_WITHIN);
-        if is_late || !send(&stream, reply, method, close).await || close {
-            return;
+    }
+}
+
+/// Reads one request and answers it; false if the connection is over.
+async fn answer_one<F, Fut>(stream: &TcpStream, handle: &F) -> bool
+where
+    F: Fn(Call) -> Fut,
+    Fut: Future<Output = Reply>,
+{
+    let began = Instant::now();
+    let bounded = Bounded {
+        stream: stream.clone(),
+        left: Arc::new(AtomicUsize::new(MAX_HEAD + MAX_BODY)),
+    };
+    let decoded = within(READ_WITHIN, async_h1::server::decode(bounded)).await;
+    let mut request = match decoded {
+        Some(Ok(Some((request, _)))) => request,
+        Some(Err(_)) => {
+            let refusal = Reply::error(400, "malformed request");
+            send(stream, refusal, Method::Get).await;
+            return false;
+        }
+        _ => return false,
+    };
+    let method = request.method();
+    let asked_close = request
+        .header(CONNECTION)
+        .is_some_and(|c| c.as_str().eq_ignore_ascii_case("close"));
+    let reply = match read_body(&mut request).await {
+        Ok(body) => {
+            let call = Call {
+                method,
+                path: request.url().path().to_owned(),
+                body,
+            };
+            let reply = handle(call).await;
+            let close = reply.close || asked_close;
+            Reply { close, ..reply }
+        }
+        // The rest of the body is not read, so the connection can't go on.
+        Err(refusal) => Reply {
+            close: true,
+            ..refusal
+        },
+    };
+    let close = reply.close;
+    let is_late = began.elapsed() > Duration::from(ANSWER_WITHIN);
+    !is_late && send(stream, reply, method).await && !close
+}
+
+/// Waits for a request; false if the connection ended or stood idle for too long.
+async fn is_spoken_on(stream: &TcpStream, crowded: &impl Fn() -> bool) -> bool {
+    let mut waited = Micros::ZERO;
+    while waited < IDLE_WITHIN {
+        match within(IDLE_IF_CROWDED, peek(stream)).await {
+            Some(first) => return first.unwrap_or(false),
+            None if crowded() => return false,
+            None => waited = waited + IDLE_IF_CROWDED,
         }
     }
+    false
 }
 
 async fn peek(stream: &TcpStream) -> io::Result<bool> {
@@ -312,8 +342,8 @@
     }
 }
 
-async fn send(stream: &TcpStream, reply: Reply, method: Method, close: bool) -> bool {
-    let mut encoder = async_h1::server::Encoder::new(reply.into_response(close), method);
+async fn send(stream: &TcpStream, reply: Reply, method: Method) -> bool {
+    let mut encoder = async_h1::server::Encoder::new(reply.into_response(), method);
     let mut stream = stream.clone();
     let work = async {
         let mut bytes = Vec::with_capacity(512);
@@ -323,3 +353,41 @@
     };
     matches!(within(WRITE_WITHIN, work).await, Some(Ok(())))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use async_net::TcpListener;
+    use futures_lite::future;
+
+    // Guards against answers from before a standstill: another controller may have told something newer meanwhile.
+    #[test]
+    fn an_answer_that_nobody_waits_for_any_more_is_not_sent() {
+        async_io::block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let client = Client::new(listener.local_addr().unwrap());
+            let slept = std::cell::Cell::new(false);
+            let server = async {
+                for _ in 0..2 {
+                    let (stream, _) = listener.accept().await.unwrap();
+                    let handle = |_: Call| async {
+                        if !slept.replace(true) {
+                            std::thread::sleep(Duration::from(ANSWER_WITHIN + Micros::millis(1)));
+                        }
+                        Reply {
+                            close: true,
+                            ..Reply::error(200, "fine")
+                        }
+                    };
+                    serve(stream, || false, handle).await;
+                }
+            };
+            let asking = async {
+                let ask = || client.call(Method::Get, "/ready", None, Micros::secs(30));
+                assert!(matches!(ask().await, Err(HttpError::NoAnswer(_))));
+                assert_eq!(ask().await.expect("an answer").0, 200);
+            };
+            future::zip(server, asking).await;
+        });
+    }
+}
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -185,10 +185,14 @@
         let (stream, _) = listener.accept().await.unwrap();
         let answer = answer.clone();
         ex.spawn(async move {
-            serve(stream, |call| {
-                let reply = answer(&call);
-                async move { reply }
-            })
+            serve(
+                stream,
+                || false,
+                |call| {
+                    let reply = answer(&call);
+                    async move { reply }
+                },
+            )
             .await
         })
         .detach();
