A short standstill only moves along what was heard; every controller says when it stood still

Short gaps now move what was heard along by their length, only one of a report interval or more forgives. The look for standstills belongs to each controller, so that people on call see a frozen follower as well. Story: a leader that stops for a second every three still finds a machine that dies.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -22,6 +22,10 @@
 use std::io;
 use std::rc::Rc;
 
+/// How often a controller looks whether it stood still.
+const PULSE_EVERY: Micros = Micros::millis(100);
+/// A look so late means that it did.
+const STOOD_STILL: Micros = Micros::secs(1);
 /// How often the other controllers are asked what they know.
 const PING_EVERY: Micros = Micros::secs(1);
 /// How long they may take.
@@ -89,6 +93,8 @@
     seen_here: RefCell<BTreeMap<MachineId, Micros>>,
     heard_new: Event,
     connections: Cell<usize>,
+    /// When it last looked whether it stood still.
+    pulse: Cell<Micros>,
 }
 
 impl Node {
@@ -127,6 +133,7 @@
             seen_here: RefCell::default(),
             heard_new: Event::new(),
             connections: Cell::new(0),
+            pulse: Cell::new(clock.now()),
             platform,
             settings,
         }
@@ -137,6 +144,18 @@
         self.leading.borrow().clone()
     }
 
+    /// Looks whether this process stood still: then it heard nobody, whoever spoke.
+    pub fn look_for_standstill(&self, now: Micros) {
+        let gap = now.since(self.pulse.replace(now));
+        if gap <= STOOD_STILL {
+            return;
+        }
+        info!("event=stood_still node={} for={gap}", self.platform.node);
+        if let Some(leading) = self.leading() {
+            leading.scheduler.borrow_mut().stood_still(gap, now);
+        }
+    }
+
     /// What this controller knows of who leads: from its own term, its view and the other controllers.
     pub fn known(&self) -> Knowledge {
         let mut best = Knowledge {
@@ -394,6 +413,16 @@
     let _lead = duty("lead", Box::pin(async move { lead_by_turns(&n).await }));
     let n = node.clone();
     let _heard = duty("heard", Box::pin(async move { tell_heard(&n).await }));
+    let n = node.clone();
+    let _pulse = duty(
+        "pulse",
+        Box::pin(async move {
+            loop {
+                n.look_for_standstill(n.clock.now());
+                Timer::after(PULSE_EVERY.into()).await;
+            }
+        }),
+    );
     let mut pings = Vec::new();
     for i in 0..node.peers.len() {
         let n = node.clone();
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -32,10 +32,6 @@
 const RETRY_PAUSE: Micros = Micros::millis(120);
 /// Room left in a transaction of 64 KiB for its conditions.
 const BATCH_BYTES: usize = 36 * 1024;
-/// How often this process looks whether it stood still.
-const PULSE_EVERY: Micros = Micros::millis(100);
-/// A pulse so late means that it did.
-const STOOD_STILL: Micros = Micros::secs(1);
 /// How often the fleet is looked at.
 const FLEET_EVERY: Micros = Micros::millis(500);
 /// How often the machine types are read.
@@ -58,7 +54,6 @@
     round_ended: Event,
     rentals: RefCell<BTreeMap<String, RentalRecord>>,
     charters: Cell<u64>,
-    pulse: Cell<Micros>,
 }
 
 impl Leading {
@@ -97,7 +92,6 @@
             round_ended: Event::new(),
             rentals: RefCell::new(rentals),
             charters: Cell::new(0),
-            pulse: Cell::new(now),
         }
     }
 
@@ -132,15 +126,6 @@
         within(ROUND_WITHIN, wait).await;
     }
 
-    /// Looks whether this process stood still: then it heard nobody, whoever spoke.
-    fn look_for_standstill(&self, now: Micros) {
-        let gap = now.since(self.pulse.replace(now));
-        if gap > STOOD_STILL {
-            info!("event=stood_still token={} for={gap}", self.token());
-            self.scheduler.borrow_mut().stood_still(now);
-        }
-    }
-
     fn leader_condition(&self) -> Condition {
         Condition {
             key: LEADER.into(),
@@ -157,7 +142,6 @@
         .set_share(limits.rps / 2.0, limits.write_rps / 2.0);
     let duties = rounds(node, leading)
         .or(news(node, leading))
-        .or(pulse(node, leading))
         .or(flavors(node, leading))
         .or(listing(node, leading))
         .or(fleet(node, leading));
@@ -172,14 +156,6 @@
     }
 }
 
-/// The duty that notices when this process stood still.
-async fn pulse(node: &Node, leading: &Leading) -> &'static str {
-    loop {
-        leading.look_for_standstill(node.clock.now());
-        Timer::after(PULSE_EVERY.into()).await;
-    }
-}
-
 /// The duty that runs the rounds.
 async fn rounds(node: &Node, leading: &Leading) -> &'static str {
     loop {
@@ -485,7 +461,7 @@
     loop {
         Timer::after(FLEET_EVERY.into()).await;
         let now = node.clock.now();
-        leading.look_for_standstill(now);
+        node.look_for_standstill(now);
         if !leading.may_order(now) {
             continue;
         }
--- a/src/scheduler/silence.rs
+++ b/src/scheduler/silence.rs
@@ -252,10 +252,18 @@
     ///
     /// Guards against a leader that slept through much of its workers' leases and still leads, as it may after an outage
     /// of the state service: it would give up the whole fleet for a silence in which it heard nothing.
-    pub fn stood_still(&mut self, now: Micros) {
+    ///
+    /// A short standstill only moves what was heard along, so that a leader that is slow all the time still finds the dead.
+    pub fn stood_still(&mut self, gap: Micros, now: Micros) {
+        let long = gap >= self.knobs.report;
         for m in self.machines.values_mut() {
-            m.excused_at = now;
-            m.reported_at = now;
+            if long {
+                m.excused_at = now;
+                m.reported_at = now;
+            } else {
+                m.heard_at = now.min(m.heard_at + gap);
+                m.reported_at = now.min(m.reported_at + gap);
+            }
         }
     }
 
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -1649,7 +1649,7 @@
         t.worker(&format!("m-{i}"), "a", false);
     }
     t.wait(50);
-    t.s.stood_still(t.now);
+    t.s.stood_still(Micros::secs(50), t.now);
     for _ in 0..6 {
         assert_eq!(t.s.plan_fleet(t.now, 0).give_back, vec![]);
         t.wait(1);
@@ -1659,6 +1659,21 @@
     t.beat_some(1..20);
     let given = t.s.plan_fleet(t.now, 0).give_back;
     assert_eq!(given, vec![MachineId("m-0".into())], "silent since");
+    t.s.returned(&given, t.now);
+    // One that stops for a second every three still finds the next that dies.
+    for second in 0..40 {
+        t.wait(1);
+        if second % 3 == 0 {
+            t.s.stood_still(Micros::secs(1), t.now);
+        }
+        t.beat_some(2..20);
+        let given = t.s.plan_fleet(t.now, 0).give_back;
+        if !given.is_empty() {
+            assert_eq!(given, vec![MachineId("m-1".into())]);
+            return;
+        }
+    }
+    panic!("a dead machine was never found");
 }
 
 // Guards against tasks that wait for the end of a cut on machines beyond it, while machines on this side have room.
