How long a connection may idle follows from the interval of reports

Found by reading: the fixed 20 s of a crowded controller, and the fixed 60 s, would end connections of workers that report less often, each of which then looks for another controller. Now two, or four, intervals where that is more.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -366,6 +366,16 @@
         self.connections.get() > self.sockets_for_others() * 3 / 4
     }
 
+    /// How long a connection may stand idle: for longer than any worker is silent between two reports.
+    fn idle_limit(&self) -> Micros {
+        let (least, reports) = if self.is_crowded() {
+            (Micros::secs(20), 2)
+        } else {
+            (Micros::secs(60), 4)
+        };
+        least.max(self.platform.report().scaled(reports, 1))
+    }
+
     /// Whether this controller can take requests.
     ///
     /// One that alone can't reach the state service, or that reaches nobody at all, is not ready; in an outage for all of
@@ -441,8 +451,8 @@
     let face_work = accept(ex, faces, node.clone(), move |stream| {
         let n = n.clone();
         async move {
-            let crowded = || n.is_crowded();
-            http::serve(stream, crowded, |call| route(n.clone(), call)).await
+            let idle = || n.idle_limit();
+            http::serve(stream, idle, |call| route(n.clone(), call)).await
         }
     });
     futures_lite::future::zip(ex2.run(internal_work), face_work).await;
--- a/src/http.rs
+++ b/src/http.rs
@@ -23,9 +23,8 @@
 const MAX_HEAD: usize = 32 * 1024;
 /// How long a connection may take to send a request's head, or its body.
 const READ_WITHIN: Micros = Micros::secs(10);
-/// How long a connection may stand idle between requests, and how long where sockets are short.
-const IDLE_WITHIN: Micros = Micros::secs(60);
-const IDLE_IF_CROWDED: Micros = Micros::secs(20);
+/// How often an idle connection is asked whether it may stay so.
+const IDLE_LOOK: Micros = Micros::secs(10);
 /// How long a peer may take to accept an answer.
 const WRITE_WITHIN: Micros = Micros::secs(10);
 /// Nobody waits for an answer for longer than this: a submission's user waits five seconds, all others less.
@@ -243,18 +242,18 @@
     }
 }
 
-/// Serves one connection until it ends, idles too long or breaks the protocol.
+/// Serves one connection until it ends, idles for longer than `idle` says at the moment, or breaks the protocol.
 ///
 /// Guards against: heads without an end ([`Bounded`]), bodies over the limit (refused before they are read), heads or bodies that trickle in (bounded
 /// time), readers that do not take their answer (bounded time), answers from before a standstill of this process, which
 /// by then are out of date (not sent).
-pub async fn serve<F, Fut>(stream: TcpStream, crowded: impl Fn() -> bool, handle: F)
+pub async fn serve<F, Fut>(stream: TcpStream, idle: impl Fn() -> Micros, handle: F)
 where
     F: Fn(Call) -> Fut,
     Fut: Future<Output = Reply>,
 {
     let _ = stream.set_nodelay(true);
-    while is_spoken_on(&stream, &crowded).await {
+    while is_spoken_on(&stream, &idle).await {
         // On the heap, so that a connection takes this room only while it has a request: it is ten times what an idle one
         // needs, and a controller may hold the workers of a whole fleet.
         if !Box::pin(answer_one(&stream, &handle)).await {
@@ -311,14 +310,13 @@
 }
 
 /// Waits for a request; false if the connection ended or stood idle for too long.
-async fn is_spoken_on(stream: &TcpStream, crowded: &impl Fn() -> bool) -> bool {
+async fn is_spoken_on(stream: &TcpStream, idle: &impl Fn() -> Micros) -> bool {
     let mut waited = Micros::ZERO;
-    while waited < IDLE_WITHIN {
-        match within(IDLE_IF_CROWDED, peek(stream)).await {
-            Some(first) => return first.unwrap_or(false),
-            None if crowded() => return false,
-            None => waited = waited + IDLE_IF_CROWDED,
+    while waited < idle() {
+        if let Some(first) = within(IDLE_LOOK, peek(stream)).await {
+            return first.unwrap_or(false);
         }
+        waited = waited + IDLE_LOOK;
     }
     false
 }
@@ -379,7 +377,7 @@
                             ..Reply::error(200, "fine")
                         }
                     };
-                    serve(stream, || false, handle).await;
+                    serve(stream, || Micros::secs(60), handle).await;
                 }
             };
             let asking = async {
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -187,7 +187,7 @@
         ex.spawn(async move {
             serve(
                 stream,
-                || false,
+                || Micros::secs(60),
                 |call| {
                     let reply = answer(&call);
                     async move { reply }
