--- a/src/config.rs
+++ b/src/config.rs
@@ -374,9 +374,7 @@
             lease: Micros::from_secs_f64(facts.workers.lease_s),
             cancel: Micros::from_secs_f64(facts.workers.cancel_s),
             list_lag: Micros::from_secs_f64(facts.cloud.list_lag_s),
-            wait_within: aims("wait")
-                .map(|o| (o.class.clone(), Micros::from_secs_f64(o.within_s)))
-                .collect(),
+            wait_within: tightest_starts(aims("wait")),
             guarantee_within: aims("guarantee")
                 .map(|o| Micros::from_secs_f64(o.within_s))
                 .next(),
@@ -384,6 +382,17 @@
     }
 }
 
+/// The shortest of each class's times to start.
+fn tightest_starts<'a>(aims: impl Iterator<Item = &'a Objective>) -> BTreeMap<String, Micros> {
+    let mut starts: BTreeMap<String, Micros> = BTreeMap::new();
+    for aim in aims {
+        let within = Micros::from_secs_f64(aim.within_s);
+        let tightest = starts.entry(aim.class.clone()).or_insert(within);
+        *tightest = within.min(*tightest);
+    }
+    starts
+}
+
 /// The elements below the root with their texts.
 fn read_elements(text: &str) -> Result<Vec<(String, String)>, (String, String)> {
     use quick_xml::events::Event;
@@ -452,6 +461,10 @@
         kind = "wait"
         class = "live"
         within_s = 12.0
+        [[facts.objectives]]
+        kind = "wait"
+        class = "live"
+        within_s = 60.0
         [facts.workers]
         report_s = 3.0
         lease_s = 36.0
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -559,7 +559,7 @@
             zone_takes(job, zone, here, None) && !(spec.together && elsewhere > 0)
         };
         // What has a deadline or must start at once does not wait for others to end.
-        let patient = spec.due_s.is_none() && !self.knobs.wait_within.contains_key(&spec.class);
+        let patient = spec.due_s.is_none() && self.has_time_for_boots(spec);
         // What did not take one task of a job does not take the next.
         while let Some(bin) = plan.bins.get_mut(plan.next) {
             if bin.free.holds(&need)
@@ -588,6 +588,13 @@
         Some(zone)
     }
 
+    /// Whether the start aim of the job's class, if it has one, leaves the time of two boots.
+    fn has_time_for_boots(&self, spec: &JobSpec) -> bool {
+        let boot = self.flavors.values().map(Flavor::boot).max();
+        let within = self.knobs.wait_within.get(&spec.class);
+        within.is_none_or(|w| boot.is_some_and(|b| *w > b.scaled(2, 1)))
+    }
+
     /// The pool where a place for such a task is cheapest; among equals the zone with the fewest machines. Zones of which
     /// nothing is heard come last.
     fn choose_pool(
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -1040,6 +1040,17 @@
     t.submit(spec("j-2", 2));
     t.round();
     assert_eq!(t.s.plan_fleet(t.now, 0).rent, vec![]);
+    // An aim that leaves time for boots does not make it hurry.
+    let aim = |t: &mut Story, s: u64| {
+        t.s.knobs
+            .wait_within
+            .insert("batch".into(), Micros::secs(s))
+    };
+    aim(&mut t, 150);
+    assert_eq!(t.s.plan_fleet(t.now, 0).rent, vec![]);
+    aim(&mut t, 60);
+    assert_eq!(t.s.plan_fleet(t.now, 0).rent.len(), 1);
+    aim(&mut t, 150);
     t.submit(JobSpec {
         due_s: Some(90.0),
         ..spec("j-3", 1)
