Cancelled tasks are stopped by whom their worker reaches, also without a lease

Change: a cancellation is told to the other controllers with the next ping; stops of cancelled tasks go into any answer, by a leader without a lease as by a controller that can't ask one; a machine that still holds one when three fifths of cancel_s are over goes back without a lease, unless the controller is alone. A leader that is alone and without a lease hands its workers on.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -6,7 +6,7 @@
 use crate::http::{self, Call, Reply};
 use crate::leader::{self, Leading};
 use crate::peer::{self, Frame, Knowledge, Peer, Request};
-use crate::scheduler::{Controller, MachineId, TeamShare};
+use crate::scheduler::{Controller, End, Final, JobId, MachineId, TeamShare};
 use crate::state::{Change, State, Urgency};
 use crate::store::{Clock, Store, heard_key};
 use crate::units::Micros;
@@ -17,7 +17,7 @@
 use event_listener::Event;
 use log::{debug, info, warn};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::future::Future;
 use std::io;
 use std::rc::Rc;
@@ -30,6 +30,9 @@
 const PING_EVERY: Micros = Micros::secs(1);
 /// How long they may take.
 const PING_WITHIN: Micros = Micros::millis(900);
+/// How long the other controllers are told of a cancellation, and of how many at the most.
+const TELL_CANCELLED_FOR: Micros = Micros::secs(30);
+const MOST_CANCELLED_TOLD: usize = 1_000;
 /// How long what another controller said of the state service counts.
 const WORD_LASTS: Micros = Micros::secs(4);
 
@@ -92,6 +95,10 @@
     handed: RefCell<BTreeMap<MachineId, Handed>>,
     seen_here: RefCell<BTreeMap<MachineId, Micros>>,
     heard_new: Event,
+    /// Cancellations committed here, by when.
+    cancelled_here: RefCell<VecDeque<(Micros, JobId)>>,
+    /// Cancelled jobs that the view need not show yet.
+    cancelled: RefCell<HashSet<JobId>>,
     connections: Cell<usize>,
     /// When it last looked whether it stood still.
     pulse: Cell<Micros>,
@@ -132,6 +139,8 @@
             handed: RefCell::default(),
             seen_here: RefCell::default(),
             heard_new: Event::new(),
+            cancelled_here: RefCell::default(),
+            cancelled: RefCell::default(),
             connections: Cell::new(0),
             pulse: Cell::new(clock.now()),
             platform,
@@ -240,6 +249,59 @@
         before.is_none_or(|at| now.since(at) > lately)
     }
 
+    /// A user's cancellation was committed here.
+    pub fn note_cancelled_here(&self, job: &JobId) {
+        let now = self.clock.now();
+        let mut here = self.cancelled_here.borrow_mut();
+        here.push_back((now, job.clone()));
+        let old = |(at, _): &(Micros, JobId)| now.since(*at) > TELL_CANCELLED_FOR;
+        while here.len() > MOST_CANCELLED_TOLD || here.front().is_some_and(old) {
+            here.pop_front();
+        }
+        drop(here);
+        self.note_cancelled(std::slice::from_ref(job));
+    }
+
+    fn cancelled_since(&self, from: Micros) -> Vec<JobId> {
+        let here = self.cancelled_here.borrow();
+        let since = here.iter().filter(|(at, _)| *at >= from);
+        since.map(|(_, job)| job.clone()).collect()
+    }
+
+    /// These jobs are cancelled, whether or not the view shows it yet.
+    ///
+    /// Guards against tasks that outlive their cancellation because the state service stopped answering right after it
+    /// was committed, so that no watch tells the leader.
+    fn note_cancelled(&self, jobs: &[JobId]) {
+        let mut cancelled = self.cancelled.borrow_mut();
+        {
+            let view = self.store.view.borrow();
+            cancelled.retain(|job| !view.ends.contains_key(job));
+            let unseen = jobs.iter().filter(|job| !view.ends.contains_key(job));
+            cancelled.extend(unseen.cloned());
+        }
+        let Some(leading) = self.leading() else {
+            return;
+        };
+        let end = End {
+            how: Final::Aborted,
+            at: self.clock.wall(),
+            done: 0,
+        };
+        for job in jobs {
+            leading.scheduler.borrow_mut().end_job(job, end);
+        }
+    }
+
+    /// Whether it is known here that a job's user cancelled it.
+    pub fn is_cancelled(&self, job: &JobId) -> bool {
+        let view = self.store.view.borrow();
+        match view.ends.get(job) {
+            Some(end) => end.how == Final::Aborted,
+            None => self.cancelled.borrow().contains(job),
+        }
+    }
+
     /// A controller of the zone that answers, for a worker of the zone.
     pub fn neighbour_of(&self, zone: &str) -> Option<String> {
         let members = self.platform.members.iter();
@@ -502,7 +564,10 @@
 async fn hear_peer(node: Rc<Node>, frame: Frame<Request>) -> Frame<peer::Reply> {
     node.learn(&frame.known);
     let message = match frame.message {
-        Request::Ping => peer::Reply::Pong,
+        Request::Ping { cancelled } => {
+            node.note_cancelled(&cancelled);
+            peer::Reply::Pong
+        }
         Request::Report { relay, via, report } => {
             workers::passed_on(&node, report, &via, relay).await
         }
@@ -539,9 +604,15 @@
 
 /// The duty that asks another controller what it knows.
 async fn ping(node: &Node, peer: &Peer) {
+    let mut told_until = node.clock.now();
     loop {
-        match peer.call(node.known(), Request::Ping, PING_WITHIN).await {
+        let now = node.clock.now();
+        let ping = Request::Ping {
+            cancelled: node.cancelled_since(told_until),
+        };
+        match peer.call(node.known(), ping, PING_WITHIN).await {
             Ok(frame) => {
+                told_until = now;
                 node.learn(&frame.known);
                 node.note_word(&peer.node, frame.known);
                 node.avoided.borrow_mut().remove(&peer.node);
@@ -695,6 +766,83 @@
         );
     }
 
+    fn checkin(node: &Rc<Node>, seq: u64, token: u64, jobs: &[&str]) -> (u16, serde_json::Value) {
+        let tasks = jobs.iter().map(
+            |job| serde_json::json!({"take": format!("{job}/0"), "try": 2, "status": "running"}),
+        );
+        let body = serde_json::json!({"host": "m-1", "endpoint": "e", "rig": "rig", "yard": "b", "loaners": false,
+            "watch": 1, "tally": seq, "warrant": token, "takes": tasks.collect::<Vec<_>>()});
+        let call = Call {
+            method: Method::Post,
+            path: "/checkin".into(),
+            body: body.to_string().into(),
+        };
+        let reply = async_io::block_on(route(node.clone(), call));
+        let body = serde_json::from_slice(&reply.body).expect("JSON");
+        (reply.status, body)
+    }
+
+    fn hear_of_cancellation(node: &Rc<Node>, job: &str) {
+        let ping = Frame {
+            known: Knowledge::default(),
+            message: Request::Ping {
+                cancelled: vec![JobId(job.into())],
+            },
+        };
+        async_io::block_on(hear_peer(node.clone(), ping));
+    }
+
+    fn stop_of(job: &str) -> serde_json::Value {
+        serde_json::json!([{"verb": "stop", "take": format!("{job}/0"), "try": 2, "slackS": 0.0}])
+    }
+
+    // Guards against cancelled tasks that run on for as long as the leader can't be asked.
+    #[test]
+    fn cancelled_tasks_are_stopped_by_whom_their_worker_reaches() {
+        let n = Rc::new(node(14.0));
+        answer_all(&n);
+        let lead = serde_json::json!({"node": "n-2", "incarnation": 1, "lease": 1});
+        let put = n.store.view.borrow_mut().put("r/leader", lead, 7);
+        put.expect("a leader");
+        hear_of_cancellation(&n, "j-1");
+        let (status, answer) = checkin(&n, 1, 7, &["j-1", "j-2"]);
+        assert_eq!((status, &answer["warrant"]), (200, &serde_json::json!(7)));
+        assert_eq!(answer["orders"], stop_of("j-1"));
+        // Told by the view alone it is the same, and the other job is nobody's to stop.
+        let end = serde_json::json!({"how": "aborted", "at": 1, "done": 0});
+        let put = n.store.view.borrow_mut().put("r/end/j-1", end, 8);
+        put.expect("an end");
+        assert_eq!(
+            checkin(&n, 2, 7, &["j-2", "j-1"]).1["orders"],
+            stop_of("j-1")
+        );
+        assert_eq!(
+            checkin(&n, 3, 7, &["j-2"]).1["orders"],
+            serde_json::json!([])
+        );
+    }
+
+    // Guards against a cancellation that the leader never hears of, as the state service refused everybody right after
+    // it was committed, and against a leader that keeps its workers while another leads.
+    #[test]
+    fn a_leader_without_a_lease_stops_what_is_cancelled_and_alone_hands_its_workers_on() {
+        let n = Rc::new(node(14.0));
+        answer_all(&n);
+        let over = election::Leadership::new(7, 1, Micros::ZERO);
+        let leading = Rc::new(Leading::new(&n, over));
+        *n.leading.borrow_mut() = Some(leading.clone());
+        hear_of_cancellation(&n, "j-1");
+        let (_, answer) = checkin(&n, 1, 7, &["j-1", "j-2"]);
+        assert_eq!(answer["orders"], stop_of("j-1"));
+        n.store.forget_answers();
+        assert_eq!(checkin(&n, 2, 7, &["j-2"]).0, 200, "an outage for all");
+        n.words.borrow_mut().clear();
+        assert!(n.is_alone());
+        assert_eq!(checkin(&n, 3, 7, &["j-2"]).0, 200, "its lease goes first");
+        let (status, answer) = checkin(&n, 4, 7, &["j-2"]);
+        assert_eq!((status, answer["muster"].as_str()), (421, Some("n-0")));
+    }
+
     // Guards against users' connections keeping out the workers of a fleet that all come to one controller.
     #[test]
     fn where_sockets_are_short_connections_of_users_end_with_each_answer() {
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -463,6 +463,13 @@
         let now = node.clock.now();
         node.look_for_standstill(now);
         if !leading.may_order(now) {
+            // Nothing else may be decided now, but a cancelled task must go, whoever leads by then: unless this
+            // controller is alone, it would have heard of another leader.
+            if !node.is_alone() && node.known().token == leading.token() {
+                let wall = node.clock.wall();
+                let overdue = leading.scheduler.borrow_mut().overdue_cancels(wall);
+                give_back(node, leading, &overdue, |_| true).await;
+            }
             continue;
         }
         let plan = {
@@ -473,16 +480,22 @@
             }
             scheduler.plan_fleet(now, node.clock.wall())
         };
-        let give_back = give_back(node, leading, &plan.give_back);
+        let still = |now| leading.may_order(now);
+        let give_back = give_back(node, leading, &plan.give_back, still);
         let rent = rent(node, leading, &plan.rent);
         future::zip(give_back, rent).await;
     }
 }
 
-async fn give_back(node: &Node, leading: &Leading, machines: &[MachineId]) {
+async fn give_back(
+    node: &Node,
+    leading: &Leading,
+    machines: &[MachineId],
+    may: impl Fn(Micros) -> bool,
+) {
     for part in machines.chunks(MAX_RETURN) {
         // Guards against a leader that stood still or was cut off in between: by now another may use these machines.
-        if !leading.may_order(node.clock.now()) {
+        if !may(node.clock.now()) {
             return;
         }
         match node.cloud.give_back(part).await {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,7 +1,7 @@
 //! Controllers among themselves: `bitcode` frames over TCP, one request and one reply at a time on a connection.
 
 use crate::http::within;
-use crate::scheduler::{Order, Report};
+use crate::scheduler::{JobId, Order, Report};
 use crate::units::Micros;
 use async_net::TcpStream;
 use bitcode::{Decode, Encode};
@@ -38,8 +38,11 @@
 /// A request to another controller.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
 pub enum Request {
-    /// Just the knowledge.
-    Ping,
+    /// The knowledge, and which jobs users have cancelled at this controller of late.
+    Ping {
+        /// Those that the other was not told of yet.
+        cancelled: Vec<JobId>,
+    },
     /// A worker's report, to be answered by the leader.
     Report {
         /// Whether it may be passed on once more.
@@ -223,7 +226,10 @@
             let asking = async {
                 for _ in 0..2 {
                     let limit = Micros::secs(30);
-                    let reply = peer.call(Knowledge::default(), Request::Ping, limit).await;
+                    let ping = Request::Ping {
+                        cancelled: Vec::new(),
+                    };
+                    let reply = peer.call(Knowledge::default(), ping, limit).await;
                     assert_eq!(reply.expect("a reply").message, Reply::Pong);
                 }
             };
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -82,7 +82,7 @@
         self.lose_touch(now);
         self.touch.shed = self.workers_to_shed(now);
         self.give_up_lost(now);
-        self.give_up_for_cancels(wall);
+        self.overdue_cancels(wall);
         let reserve = self.reserve(wall);
         self.plan_fold(reserve.as_ref(), now);
         self.give_up_idle(reserve.as_ref(), now);
@@ -228,10 +228,10 @@
         }
     }
 
-    /// A machine that could not be told of a cancellation in good time goes back with the cancelled task.
-    fn give_up_for_cancels(&mut self, wall: u64) {
+    /// Machines that could not be told of a cancellation in good time: they go back with the cancelled task.
+    pub fn overdue_cancels(&mut self, wall: u64) -> Vec<MachineId> {
         let patience = self.knobs.cancel.scaled(3, 5).0;
-        let mut overdue = Vec::new();
+        let mut overdue = BTreeMap::new();
         for job in self.jobs.values() {
             let Some(end) = job.end else { continue };
             if job.live > 0 && wall > end.at.saturating_add(patience) {
@@ -239,8 +239,8 @@
                     .extend(live_tasks(job).map(|(_, p)| (p.machine.clone(), job.spec.id.clone())));
             }
         }
-        for (id, job) in overdue {
-            if let Some(m) = self.machines.get_mut(&id)
+        for (id, job) in &overdue {
+            if let Some(m) = self.machines.get_mut(id)
                 && m.life != Life::Returning
             {
                 m.life = Life::Returning;
@@ -249,6 +249,7 @@
                 ));
             }
         }
+        overdue.into_keys().collect()
     }
 
     /// Gives back machines that stood empty long enough, the highest ids first, down to the reserve.
--- a/src/users.rs
+++ b/src/users.rs
@@ -173,6 +173,7 @@
         match commit(node, &when, &[put(end_key(&id), json!(end))]).await {
             Some(Outcome::Applied(_)) => {
                 info!("event=job_cancelled job={id}");
+                node.note_cancelled_here(&id);
                 return Reply::json(200, &json!({"nameId": id, "status": "aborted"}));
             }
             Some(Outcome::Conflict(_)) => {
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -4,7 +4,7 @@
 use crate::http::{Call, Reply, within};
 use crate::leader::Leading;
 use crate::peer::{self, Request};
-use crate::scheduler::{Order, Report};
+use crate::scheduler::{Order, Report, TaskId, TaskState};
 use crate::units::Micros;
 use http_types::Method;
 use log::{debug, warn};
@@ -44,8 +44,7 @@
         }
     };
     let seen = report.token;
-    let (machine, zone) = (report.machine.clone(), report.zone.clone());
-    match checkin(node, report).await {
+    match checkin(node, &report).await {
         Some(Answer {
             elsewhere: Some(other),
             ..
@@ -58,7 +57,8 @@
         Some(_) => Reply::error(503, "no leader within reach"),
         // Nobody can be asked: the answer keeps the worker's tasks alive, and gives no orders.
         None => {
-            if let Some(other) = node.hand_off(&machine, &zone) {
+            let machine = report.machine.clone();
+            if let Some(other) = node.hand_off(&machine, &report.zone) {
                 debug!("event=handed_off machine={machine} to={other}");
                 return Reply::json(421, &json!({ "muster": other }));
             }
@@ -67,14 +67,19 @@
                 return Reply::error(503, "no leader within reach");
             }
             node.note_heard(machine);
-            Reply::json(200, &json!({"warrant": token, "orders": []}))
+            let orders = stops_of_cancelled(node, &report);
+            Reply::json(200, &json!({"warrant": token, "orders": orders}))
         }
     }
 }
 
-async fn checkin(node: &Rc<Node>, report: Report) -> Option<Answer> {
+async fn checkin(node: &Rc<Node>, report: &Report) -> Option<Answer> {
     if let Some(leading) = node.leading() {
-        return lead(node, &leading, &report, "").await;
+        // Guards against a leader that lost the state service and all others while its workers still reach it: another
+        // leads by now, so they are handed on like those of any controller that is alone.
+        let deposed = node.is_alone() && !leading.may_order(node.clock.now());
+        let answer = lead(node, &leading, report, "").await;
+        return answer.filter(|_| !deposed);
     }
     let own = node.platform.node.clone();
     let limit = if node.is_newcomer(&report.machine) {
@@ -104,6 +109,8 @@
         let at = (report.session, report.seq);
         let mut scheduler = leading.scheduler.borrow_mut();
         scheduler.orders_for(&report.machine, at, now)
+    } else if heard.fresh {
+        stops_of_cancelled(node, report)
     } else {
         Vec::new()
     };
@@ -121,12 +128,29 @@
     })
 }
 
+/// Stops for what a report shows of cancelled jobs.
+///
+/// The only orders that need no lease: a cancelled job stays cancelled whoever leads, and a worker that has seen a higher
+/// token drops them. Guards against cancelled tasks that run on because the leader, or every controller, is refused by the
+/// state service for longer than a cancellation may take.
+fn stops_of_cancelled(node: &Node, report: &Report) -> Vec<Order> {
+    let running = report.tasks.iter().filter(|t| t.state != TaskState::Exited);
+    let cancelled =
+        running.filter(|t| TaskId::parse(&t.task).is_some_and(|task| node.is_cancelled(&task.job)));
+    let stop = cancelled.map(|t| Order::Stop {
+        task: t.task.clone(),
+        attempt: t.attempt,
+        slack_s: 0.0,
+    });
+    stop.collect()
+}
+
 /// Asks the leader on a worker's behalf: directly, and if that fails through another controller.
-async fn forward(node: &Rc<Node>, report: Report, via: &str, relay: bool) -> Option<Answer> {
+async fn forward(node: &Rc<Node>, report: &Report, via: &str, relay: bool) -> Option<Answer> {
     let leader = node.known().leader?;
     let direct = node.peers.iter().find(|p| p.node == leader)?;
     if !node.avoids(&leader) {
-        match ask(node, direct, report.clone(), via, false).await {
+        match ask(node, direct, report, via, false).await {
             Some(answer) => return Some(answer),
             None => node.avoid(&leader, node.clock.now() + AVOID_FOR),
         }
@@ -138,7 +162,7 @@
         if other.node == leader || node.avoids(&other.node) {
             continue;
         }
-        if let Some(answer) = ask(node, other, report.clone(), via, true).await {
+        if let Some(answer) = ask(node, other, report, via, true).await {
             return Some(answer);
         }
     }
@@ -148,14 +172,14 @@
 async fn ask(
     node: &Node,
     peer: &peer::Peer,
-    report: Report,
+    report: &Report,
     via: &str,
     relay: bool,
 ) -> Option<Answer> {
     let request = Request::Report {
         relay,
         via: via.to_owned(),
-        report,
+        report: report.clone(),
     };
     match peer.call(node.known(), request, FORWARD_WITHIN).await {
         Ok(frame) => {
@@ -184,7 +208,7 @@
 pub async fn passed_on(node: &Rc<Node>, report: Report, via: &str, relay: bool) -> peer::Reply {
     let answer = match node.leading() {
         Some(leading) => lead(node, &leading, &report, via).await,
-        None if relay => forward(node, report, via, false).await,
+        None if relay => forward(node, &report, via, false).await,
         None => None,
     };
     match answer {
