Broken jobs are tried one task at a time, and no machine is blamed for them

Ruled out: telling a broken job by the time until its tasks fail, as nothing says how long that is. Change: an array that failed on three machines is at fault until one of its tasks succeeds; it is tried one task at a time with nothing rented for it, its failures speak against no machine, and a machine that was sick through it is not any more. A success turns the blame round.

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -369,7 +369,7 @@
             let need = spec.need();
             let mut in_zone: BTreeMap<String, u32> = BTreeMap::new();
             plan.next = 0;
-            for _ in 0..job.waiting() {
+            for _ in 0..job.open() {
                 let planned = planned_use.entry(spec.team.clone()).or_default();
                 if left == 0 || !self.within_limit(&spec.team, &(*planned + need)) {
                     break;
@@ -437,12 +437,15 @@
         self.fleet.listed && machines.all(|m| m.life != Life::Booting || !is_up(m))
     }
 
-    /// Jobs with waiting tasks in the order in which they are offered, those that back off left out.
+    /// Jobs with waiting tasks in the order in which they are offered, those that back off left out. For one at fault
+    /// nothing is rented as long as there is any machine that it could fail on.
     fn waiting_jobs(&self, now: Micros) -> Vec<JobId> {
+        let any_up = self.machines.values().any(Machine::takes_offers);
         let mut waiting: Vec<&Job> = self
             .jobs
             .values()
-            .filter(|j| j.waiting() > 0 && j.next_try <= now + Micros::secs(2))
+            .filter(|j| j.open() > 0 && j.next_try <= now + Micros::secs(2))
+            .filter(|j| !(j.at_fault && any_up))
             .collect();
         self.sort_by_turn(&mut waiting);
         waiting.into_iter().map(|j| j.spec.id.clone()).collect()
--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -587,6 +587,8 @@
     pub failed_on: BTreeSet<MachineId>,
     /// Failures in a row, for backing off.
     pub failures: u32,
+    /// Whether it failed on so many machines, with no success between, that it is itself at fault.
+    pub at_fault: bool,
     /// Whether a spot machine was taken with work of it that could not be saved.
     pub lost_on_spot: bool,
     /// Machines where tasks are being stopped for waiting ones of this job, and until when that is believed.
@@ -612,6 +614,7 @@
             next_try: now,
             failed_on: BTreeSet::new(),
             failures: 0,
+            at_fault: false,
             lost_on_spot: false,
             claims: Vec::new(),
             moving_until: Micros::ZERO,
@@ -652,6 +655,18 @@
         }
     }
 
+    /// Tasks that wait and may be offered now: of a job at fault one at a time, until one succeeds.
+    ///
+    /// Guards against a large job submitted with a mistake: all of its tasks would be started, and rented for, again and
+    /// again, only to fail.
+    pub fn open(&self) -> u32 {
+        if self.at_fault {
+            self.waiting().min(1_u32.saturating_sub(self.live))
+        } else {
+            self.waiting()
+        }
+    }
+
     /// Whether its tasks may go to such a machine. What lost its work on a spot machine once does not try its luck again:
     /// a job without checkpoints could lose it over and over and never be in time.
     pub fn allows(&self, rig: &str, zone: &str, spot: bool) -> bool {
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -168,7 +168,7 @@
         let mut due: Vec<&Job> = self
             .jobs
             .values()
-            .filter(|j| j.next_try <= now && j.waiting() > 0)
+            .filter(|j| j.next_try <= now && j.open() > 0)
             .collect();
         self.sort_by_turn(&mut due);
         due.into_iter().map(|j| j.spec.id.clone()).collect()
@@ -231,7 +231,7 @@
         job.claims.retain(|(_, until)| *until > now);
         let spec = job.spec.clone();
         let need = spec.need();
-        let mut budget = job.waiting() as usize;
+        let mut budget = job.open() as usize;
         if !spec.is_gang() {
             budget = budget.min(TASKS_PER_JOB);
         }
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -51,7 +51,7 @@
     ) {
         let Some(job) = self.jobs.get(id) else { return };
         let spec = job.spec.clone();
-        let open = (job.waiting() as usize).saturating_sub(job.claims.len());
+        let open = (job.open() as usize).saturating_sub(job.claims.len());
         if !self.knobs.wait_within.contains_key(&spec.class) && !self.is_entitled(id) {
             return;
         }
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -212,6 +212,7 @@
             if let Some(m) = self.machines.get_mut(machine) {
                 m.failed_jobs.clear();
             }
+            self.note_success(&task.job);
             return;
         }
         self.details.push(format!(
@@ -235,31 +236,52 @@
 
     /// Guards against the design's crack: a job that fails everywhere would land on the same low machine for ever,
     /// and a machine that fails everything would be offered every job first.
+    ///
+    /// Until a job is known to be at fault its failures speak against the machines as well; then they are taken back, so
+    /// that two broken jobs that met on a machine do not make it sick.
     fn task_failed(&mut self, task: &TaskId, machine: &MachineId, now: Micros) {
+        let machines = self.machines.len();
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
+        if job.failed_on.len() * 2 >= machines.max(2 * JOB_AT_FAULT) {
+            // Where it failed on most machines, they get another try.
+            job.failed_on.clear();
+        }
         job.failed_on.insert(machine.clone());
         job.failures += 1;
-        if job.failed_on.len() >= JOB_AT_FAULT {
+        if job.at_fault || job.failed_on.len() >= JOB_AT_FAULT {
             let pause = Micros::secs(1 << job.failures.min(5)).min(MOST_BACKOFF);
             job.next_try = now + pause;
-            let blamed = std::mem::take(&mut job.failed_on);
+            // A service shows no success, so that its failures are judged anew.
+            let lasts = job.spec.shape != Shape::Service;
+            if job.at_fault {
+                return;
+            }
+            job.at_fault = lasts;
             self.notes.push(format!(
                 "event=job_fails_everywhere job={} pause={pause}",
                 task.job
             ));
+            let blamed = if lasts {
+                job.failed_on.clone()
+            } else {
+                std::mem::take(&mut job.failed_on)
+            };
             for m in blamed {
-                if let Some(m) = self.machines.get_mut(&m) {
-                    m.failed_jobs.remove(&task.job);
-                }
+                self.clear_of_blame(&m, &task.job);
             }
             return;
         }
+        self.blame(machine, &task.job);
+    }
+
+    /// A machine failed a job that is not known to be at fault.
+    fn blame(&mut self, machine: &MachineId, job: &JobId) {
         let Some(m) = self.machines.get_mut(machine) else {
             return;
         };
-        m.failed_jobs.insert(task.job.clone());
+        m.failed_jobs.insert(job.clone());
         if m.failed_jobs.len() >= MACHINE_AT_FAULT && m.life == Life::Up {
             m.life = Life::Draining;
             self.notes
@@ -267,6 +289,35 @@
         }
     }
 
+    /// The job was at fault: if that is all there was against a machine, it is as good as any.
+    fn clear_of_blame(&mut self, machine: &MachineId, job: &JobId) {
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
+        let was_sick = m.failed_jobs.len() >= MACHINE_AT_FAULT;
+        m.failed_jobs.remove(job);
+        if was_sick && m.failed_jobs.len() < MACHINE_AT_FAULT && m.life == Life::Draining {
+            m.life = Life::Up;
+            self.notes
+                .push(format!("event=machine_not_sick machine={machine}"));
+        }
+    }
+
+    /// A task of the job completed: it is not at fault, so that the machines where it failed are.
+    ///
+    /// Guards against taking a good job that met only faulty machines for broken, and them for good.
+    fn note_success(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if !std::mem::take(&mut job.at_fault) {
+            return;
+        }
+        for machine in job.failed_on.clone() {
+            self.blame(&machine, id);
+        }
+    }
+
     /// Deals with what is reported but not placed: stale attempts, strangers, tasks that ended before.
     fn take_others(&mut self, r: &Report, now: Micros) -> bool {
         let mut exited = Vec::new();
