Machines that are all late are waited for; a few stuck ones are not

Cause: a machine was given up 1.7 usual boots after its rental, whatever the others did. Ruled out: a longer limit for all, as one stuck machine in twenty is the usual case and costs starts. Change: where more than a quarter of a zone's machines of the last five minutes are late, they are waited for up to half as long again as the slowest that came up (three boots if none did, six at the most), and other zones are rented from first.

--- /dev/null
+++ b/src/scheduler/boots.rs
@@ -0,0 +1,147 @@
+//! How long new machines take to come up: which of those that are late are stuck, and which only as late as all are.
+
+use super::*;
+
+/// In tenths of the usual boot time: nearly all machines are up by then.
+const USUAL: u64 = 17;
+/// How long a late machine is waited for where many are late, before any of them came up.
+const DOUBTED: u64 = 30;
+/// The longest that any machine is waited for.
+const LONGEST: u64 = 60;
+/// A machine stops counting as room to come so much before it is given up.
+const REPLACED_BEFORE: u64 = 1;
+/// Where many are late and none of them came up, others are rented in their place after this.
+const REPLACED: u64 = 24;
+/// So many late machines are no sign of anything.
+const FEW: u64 = 2;
+/// How long the boots of a zone tell something of the next.
+const TELLS_FOR: Micros = Micros::secs(300);
+
+/// How the machines of a zone come up.
+#[derive(Debug, Clone, Copy, Default)]
+struct Zone {
+    on_time: u64,
+    late: u64,
+    /// The slowest of those that came up.
+    slowest: u64,
+}
+
+impl Zone {
+    fn is_slow(&self) -> bool {
+        self.late > FEW.max((self.late + self.on_time) / 4)
+    }
+
+    /// When a machine is stuck, in tenths of the usual boot time.
+    fn stuck_after(&self) -> u64 {
+        if self.is_slow() {
+            (self.slowest * 3 / 2).clamp(DOUBTED, LONGEST)
+        } else {
+            USUAL
+        }
+    }
+}
+
+/// What the scheduler remembers of boots.
+#[derive(Debug, Default)]
+pub(super) struct Boots {
+    /// Machines that came up, or were given up: when, where, and after how many tenths of the usual time, if at all.
+    seen: VecDeque<(Micros, String, Option<u64>)>,
+    zones: BTreeMap<String, Zone>,
+}
+
+impl Boots {
+    /// Whether much of what was rented in the zone of late is late.
+    pub(super) fn is_slow(&self, zone: &str) -> bool {
+        self.zones.get(zone).is_some_and(Zone::is_slow)
+    }
+}
+
+impl Scheduler {
+    /// How long a machine has been booting, in tenths of the usual time.
+    fn boot_tenths(&self, m: &Machine, now: Micros) -> u64 {
+        let boot = self.flavors.get(&m.rig).map(Flavor::boot);
+        let boot = boot.unwrap_or(Micros::secs(60)).0.max(1);
+        now.since(m.since).0.saturating_mul(10) / boot
+    }
+
+    /// A machine that this leader rented came up, or was given up as stuck.
+    pub(super) fn note_boot(&mut self, machine: &MachineId, up: bool, now: Micros) {
+        let Some(m) = self.machines.get(machine).filter(|m| m.rented_now) else {
+            return;
+        };
+        let took = up.then(|| self.boot_tenths(m, now));
+        let seen = (now, m.zone.clone(), took);
+        self.boots.seen.push_back(seen);
+    }
+
+    /// Looks anew at how machines come up, zone by zone.
+    ///
+    /// Guards against giving up, and renting again, every new machine of a time in which all take several times as long:
+    /// none of them would ever come up.
+    pub(super) fn look_at_boots(&mut self, now: Micros) {
+        let old = |(at, _, _): &(Micros, String, Option<u64>)| now.since(*at) > TELLS_FOR;
+        while self.boots.seen.front().is_some_and(old) {
+            self.boots.seen.pop_front();
+        }
+        let mut zones: BTreeMap<String, Zone> = BTreeMap::new();
+        for (_, name, took) in &self.boots.seen {
+            let zone = zones.entry(name.clone()).or_default();
+            match took {
+                Some(tenths) if *tenths <= USUAL => zone.on_time += 1,
+                Some(tenths) => {
+                    zone.late += 1;
+                    zone.slowest = zone.slowest.max(*tenths);
+                }
+                None => zone.late += 1,
+            }
+        }
+        for m in self.machines.values() {
+            if m.newest.is_none() && self.is_late(m, now) {
+                zones.entry(m.zone.clone()).or_default().late += 1;
+            }
+        }
+        for (name, zone) in &zones {
+            if zone.is_slow() != self.boots.is_slow(name) {
+                let event = if zone.is_slow() {
+                    "boots_slow"
+                } else {
+                    "boots_usual"
+                };
+                self.notes.push(format!(
+                    "event={event} zone={name} late={} on_time={}",
+                    zone.late, zone.on_time
+                ));
+            }
+        }
+        self.boots.zones = zones;
+    }
+
+    /// Whether a machine is past the usual time of a boot, and nothing that was sent in this leader's time came of it. A
+    /// new leader first gives it the time to report.
+    fn is_late(&self, m: &Machine, now: Micros) -> bool {
+        let boot = self.flavors.get(&m.rig).map(Flavor::boot);
+        let quiet = boot.unwrap_or(Micros::secs(60)).scaled(1, 2);
+        m.life == Life::Booting
+            && m.held.is_empty()
+            && now.since(m.heard_at) > quiet
+            && self.boot_tenths(m, now) > USUAL
+    }
+
+    /// Whether a machine will not come up any more, as far as its zone's others tell.
+    pub(super) fn is_stuck_in_boot(&self, m: &Machine, now: Micros) -> bool {
+        let zone = self.boots.zones.get(&m.zone).copied().unwrap_or_default();
+        let reported = m.newest.is_some();
+        self.is_late(m, now) && (reported || self.boot_tenths(m, now) > zone.stuck_after())
+    }
+
+    /// Whether a machine that boots counts as room to come.
+    pub(super) fn comes_soon(&self, m: &Machine, now: Micros) -> bool {
+        let zone = self.boots.zones.get(&m.zone).copied().unwrap_or_default();
+        let limit = if zone.is_slow() && zone.slowest == 0 {
+            REPLACED
+        } else {
+            zone.stuck_after() - REPLACED_BEFORE
+        };
+        self.boot_tenths(m, now) < limit
+    }
+}
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -466,7 +466,7 @@
                 && reports_soon
                 && m.total != Room::default()
                 && !m.lost
-                && now.since(m.since) < boot.scaled(16, 10);
+                && self.comes_soon(m, now);
             let mut free = m.free();
             let mut frees = false;
             let mut later = false;
@@ -600,7 +600,7 @@
     }
 
     /// The pool where a place for such a task is cheapest; among equals the zone with the fewest machines. Zones of which
-    /// nothing is heard come last.
+    /// nothing is heard, or where machines come up late, come last.
     fn choose_pool(
         &self,
         job: &Job,
@@ -634,7 +634,8 @@
                         flavor.price
                     };
                     let there = plan.in_zone.get(zone).copied().unwrap_or(0);
-                    let rank = (self.is_dark(zone), price / places as f64, there);
+                    let doubtful = self.is_dark(zone) || self.boots.is_slow(zone);
+                    let rank = (doubtful, price / places as f64, there);
                     if best.as_ref().is_none_or(|(r, _, _)| rank < *r) {
                         best = Some((rank, pool, room));
                     }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -3,6 +3,7 @@
 //! It has no I/O, no clock and no randomness of its own. What may be told to workers follows from what the
 //! controller reports as written: a start is given out only after its placement was, a `clear` only after the finish.
 
+mod boots;
 mod fair;
 mod fleet;
 mod fold;
@@ -163,6 +164,7 @@
     known_images: BTreeMap<MachineId, Vec<CachedImage>>,
     gone: HashSet<MachineId>,
     gone_order: VecDeque<MachineId>,
+    boots: boots::Boots,
     fleet: fleet::Fleet,
     fold: fold::Fold,
     fair: fair::Fair,
@@ -201,6 +203,7 @@
             known_images: BTreeMap::new(),
             gone: HashSet::new(),
             gone_order: VecDeque::new(),
+            boots: boots::Boots::default(),
             fleet: fleet::Fleet::default(),
             fold: fold::Fold::default(),
             fair: fair::Fair::default(),
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -60,7 +60,8 @@
         }
         // Guards against a late copy bringing back a machine that an earlier leader returned: until a report shows
         // this leader's token, only a machine rented by this leader is taken to be there.
-        if m.life == Life::Booting && (echoes || m.rented_now) {
+        let comes_up = m.life == Life::Booting && (echoes || m.rented_now);
+        if comes_up {
             m.life = Life::Up;
             m.idle_since = Some(now);
             m.images
@@ -73,6 +74,9 @@
         }
         let noticed = r.notice_s.is_some() && m.notice.is_none();
         m.notice = r.notice_s.map(|s| now + Micros::from_secs_f64(s));
+        if comes_up {
+            self.note_boot(&r.machine, true, now);
+        }
         let mut changed = self.compare_held(r, now);
         changed |= self.take_others(r, now);
         if noticed {
--- a/src/scheduler/silence.rs
+++ b/src/scheduler/silence.rs
@@ -160,22 +160,15 @@
 
     /// Machines that are lost, silent or stuck are given back, as only then their tasks may run elsewhere.
     pub(super) fn give_up_lost(&mut self, now: Micros) {
+        self.look_at_boots(now);
         let mut give_up: Vec<(MachineId, &str)> = Vec::new();
         for (id, m) in &self.machines {
             if m.life == Life::Returning {
                 continue;
             }
-            let boot = self
-                .flavors
-                .get(&m.rig)
-                .map_or(Micros::secs(60), Flavor::boot);
             if m.lost {
                 give_up.push((id.clone(), "lost"));
-            } else if m.life == Life::Booting
-                && m.held.is_empty()
-                && now.since(m.since) > boot.scaled(17, 10) + Micros::secs(3)
-                && now.since(m.heard_at) > boot.scaled(1, 2)
-            {
+            } else if self.is_stuck_in_boot(m, now) {
                 give_up.push((id.clone(), "stuck"));
             }
         }
@@ -188,6 +181,9 @@
         give_up.extend(self.silent(now).into_iter().map(|id| (id, "silent")));
         let mut lost: BTreeMap<(&str, String, bool), Vec<MachineId>> = BTreeMap::new();
         for (id, mut why) in give_up {
+            if why == "stuck" {
+                self.note_boot(&id, false, now);
+            }
             let Some(m) = self.machines.get_mut(&id) else {
                 continue;
             };
--- a/src/scheduler/stories.rs
+++ b/src/scheduler/stories.rs
@@ -945,6 +945,61 @@
 }
 
 // Guards against counting the moving task against its own zone, by which only moves to other zones were ever made.
+/// Rents twenty machines, and plays how they come up: each after so many seconds, if at all. Gives what is given back by
+/// then, and how many more were rented, all as wanted for twenty tasks of two a machine.
+fn boots(t: &mut Story, zone: &str, after: &[Option<u64>], until: u64) -> (usize, usize) {
+    let pool = Pool {
+        rig: "rig".into(),
+        zone: zone.into(),
+        spot: true,
+    };
+    let want = Want {
+        pool,
+        count: after.len(),
+    };
+    let name = |i: usize| format!("m-{zone}{i:02}");
+    let rented: Vec<MachineId> = (0..after.len()).map(|i| MachineId(name(i))).collect();
+    t.s.rent_started(&want);
+    t.s.rent_done(&want, &rented, t.now);
+    t.submit(spec(&format!("j-{zone}"), 2 * after.len() as u32));
+    let (mut given_back, mut more) = (BTreeSet::new(), 0);
+    for second in 1..=until {
+        t.wait(1);
+        for (i, up) in after.iter().enumerate() {
+            if *up == Some(second) && !given_back.contains(&rented[i]) {
+                t.worker(&name(i), zone, true);
+            }
+        }
+        t.beat_all();
+        let plan = t.s.plan_fleet(t.now, second * 1_000_000);
+        given_back.extend(plan.give_back);
+        more = more.max(plan.rent.iter().map(|w| w.count).sum());
+    }
+    (given_back.len(), more)
+}
+
+// Guards against giving up every new machine of a time in which all come up late, and renting them again for ever; and
+// against waiting as long for a few that never come up.
+#[test]
+fn machines_that_are_all_late_are_waited_for_and_a_few_stuck_ones_are_not() {
+    // The usual time is 40 s. Of twenty machines two never come up.
+    let mut few = vec![Some(38); 18];
+    few.extend([None, None]);
+    let (given_back, more) = boots(&mut Story::new(0.0), "a", &few, 75);
+    assert_eq!((given_back, more), (2, 2));
+    // All take three and a half times as long.
+    let mut t = Story::new(0.0);
+    let (given_back, _) = boots(&mut t, "a", &[Some(115); 20], 118);
+    assert_eq!(given_back, 0, "all may yet come");
+    assert_eq!(t.running(), 40);
+    // What is known of the zone by now holds for the next machines there, and others are rented elsewhere.
+    let (given_back, more) = boots(&mut t, "a", &[Some(140); 10], 135);
+    assert_eq!((given_back, more), (0, 0));
+    // None comes up: they are replaced, and go back, after a longer while.
+    let (given_back, more) = boots(&mut Story::new(0.0), "a", &[None; 20], 125);
+    assert_eq!((given_back, more), (20, 20));
+}
+
 #[test]
 fn a_scattered_service_is_moved_and_its_machine_goes_back() {
     let mut t = Story::new(0.0);
