Empty machines that were not offered yet count as room to come

Cause: a machine that has just come up, or emptied, is offered to a waiting job with that job's next try, up to half a second later; a plan of the fleet in between counted it neither as free nor as coming, and rented one more. Ruled out: making every waiting job due with every machine that comes up, which costs a round for each of 35 a second.

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -454,6 +454,7 @@
     /// Room that comes without renting anything more.
     fn coming(&self, now: Micros) -> Vec<Bin> {
         let mut bins = Vec::new();
+        let offered_within = self.knobs.retry + self.knobs.jitter.scaled(2, 1);
         for m in self.machines.values() {
             let boot = self
                 .flavors
@@ -480,7 +481,11 @@
                     }
                 }
             }
-            if on_its_way || frees {
+            // Guards against renting once more for tasks that wait a moment longer for their next offer.
+            let just_up = m.takes_offers()
+                && m.is_empty()
+                && m.idle_since.is_some_and(|t| now.since(t) <= offered_within);
+            if on_its_way || frees || just_up {
                 bins.push(Bin {
                     pool: Pool {
                         rig: m.rig.clone(),
