--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -155,6 +155,8 @@
     team_used: BTreeMap<String, Room>,
     /// Jobs within their team's guarantee, as of the last round.
     guaranteed: HashSet<JobId>,
+    /// What work without accelerators leaves for each free one, by its priority, as of the last round.
+    beside_a_card: BTreeMap<Priority, Room>,
     dirty: BTreeSet<(JobId, u32)>,
     finished: BTreeSet<JobId>,
     over: BTreeSet<JobId>,
@@ -196,6 +198,7 @@
             machines: BTreeMap::new(),
             team_used: BTreeMap::new(),
             guaranteed: HashSet::new(),
+            beside_a_card: BTreeMap::new(),
             dirty: BTreeSet::new(),
             finished: BTreeSet::new(),
             over: BTreeSet::new(),
--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -17,6 +17,11 @@
 const DOUBTFUL: u32 = 2;
 /// After so many its reports are no sign of life.
 const DEAF: u32 = 3;
+/// What has no deadline goes behind what is due so soon after it came.
+///
+/// Guards against spare-time work that comes in thousands of long tasks: by its age it would go before all that has a
+/// deadline, which could not be met any more.
+const UNDATED: Micros = Micros::secs(600);
 /// Largest amount that a submission may name.
 const MAX_AMOUNT: f64 = 1e9;
 
@@ -622,10 +627,10 @@
         }
     }
 
-    /// When it should be complete, by the time of day; without a deadline when it came, so that the oldest go first.
+    /// When it should be complete, by the time of day; without a deadline so long after it came.
     pub fn due_at(&self) -> u64 {
-        let due = self.spec.due_s.map_or(0, |s| Micros::from_secs_f64(s).0);
-        self.at.saturating_add(due)
+        let due = self.spec.due_s.map_or(UNDATED, Micros::from_secs_f64);
+        self.at.saturating_add(due.0)
     }
 
     /// Its place among jobs of its priority at a time of day: the one due first goes first.
@@ -637,7 +642,7 @@
         let due = self.due_at();
         let allowed = due - self.at;
         let done_at = wall.saturating_add(Micros::from_secs_f64(self.spec.expect_s).0);
-        if allowed == 0 || done_at <= due {
+        if self.spec.due_s.is_none() || done_at <= due {
             due
         } else if done_at <= due.saturating_add(allowed / 2) {
             due.saturating_add(allowed / 2)
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -19,6 +19,8 @@
     spot: Option<bool>,
     /// One task a machine: what must be fetched anyway is then had by more machines.
     one_each: bool,
+    /// Only those that have work with accelerators.
+    beside_cards: bool,
 }
 
 /// A machine as a round sees it.
@@ -26,6 +28,24 @@
     id: MachineId,
     spot: bool,
     free: Room,
+    /// All of its accelerators.
+    cards: i64,
+}
+
+impl Candidate {
+    fn uses_cards(&self) -> bool {
+        self.free.cards < self.cards
+    }
+
+    /// Whether a task fits; what takes no accelerators leaves so much for each free one beside others in use.
+    fn holds(&self, need: &Room, beside_a_card: Room) -> bool {
+        if need.cards > 0 || !self.uses_cards() {
+            return self.free.holds(need);
+        }
+        let free_cards = Room::new(0.0, 1.0, 0.0).cards.max(1);
+        let kept = beside_a_card.times((self.free.cards / free_cards).max(0) as usize);
+        (self.free - kept).holds(need)
+    }
 }
 
 impl Scheduler {
@@ -40,6 +60,7 @@
         self.keep_for_long_waiting(now);
         let mut machines = self.candidates(&due);
         let mut room = MakeRoom::new(self.coming_room(now));
+        self.beside_a_card = self.room_beside_a_card();
         let sample = self.sample_size(due.len(), machines.len());
         let everyone: Vec<usize> = (0..machines.len()).collect();
         for id in &due {
@@ -62,6 +83,15 @@
                 with_image: true,
                 ..any
             };
+            // What takes no accelerators first takes what is left beside those in use.
+            if spec_of(&self.jobs, id).is_some_and(|s| s.cards == 0.0) {
+                let beside_cards = true;
+                let beside = Pass {
+                    beside_cards,
+                    ..any
+                };
+                self.offer(id, &mut machines, order, beside, now);
+            }
             // Ordinary machines decline what may use spot ones, which are far cheaper, while these have room.
             if self
                 .jobs
@@ -89,6 +119,36 @@
         }
     }
 
+    /// By priority, the processors and memory that a task with one accelerator takes at the most, of jobs that are not
+    /// lower.
+    ///
+    /// Guards against thousands of tasks without accelerators that use up the processors beside free ones: those would
+    /// be paid for, and of no use to anybody.
+    fn room_beside_a_card(&self) -> BTreeMap<Priority, Room> {
+        let mut beside: BTreeMap<Priority, Room> = BTreeMap::new();
+        for job in self
+            .jobs
+            .values()
+            .filter(|j| j.spec.cards > 0.0 && !j.ending)
+        {
+            let spec = &job.spec;
+            let one = Room::new(spec.cores / spec.cards, 0.0, spec.ram_gb / spec.cards);
+            for priority in [
+                Priority::Low,
+                Priority::Normal,
+                Priority::Urgent,
+                Priority::Critical,
+            ] {
+                if priority <= spec.priority {
+                    let most = beside.entry(priority).or_default();
+                    most.cores = most.cores.max(one.cores);
+                    most.ram = most.ram.max(one.ram);
+                }
+            }
+        }
+        beside
+    }
+
     /// Sets the next try of a job with waiting tasks.
     fn delay(&mut self, id: &JobId, now: Micros) {
         let jitter = self.rng.u64(0..=self.knobs.jitter.0);
@@ -189,6 +249,7 @@
                 id: id.clone(),
                 spot: m.spot,
                 free: m.free(),
+                cards: m.total.cards,
             })
             .collect()
     }
@@ -231,6 +292,8 @@
         job.claims.retain(|(_, until)| *until > now);
         let spec = job.spec.clone();
         let need = spec.need();
+        let beside_a_card = self.beside_a_card.get(&spec.priority);
+        let beside_a_card = beside_a_card.copied().unwrap_or_default();
         let mut budget = job.open() as usize;
         if !spec.is_gang() {
             budget = budget.min(TASKS_PER_JOB);
@@ -247,7 +310,10 @@
                 continue;
             }
             self.offers_made += 1;
-            if !candidate.free.holds(&need) || self.is_kept_from(&candidate.id, id) {
+            if !candidate.holds(&need, beside_a_card)
+                || (pass.beside_cards && !candidate.uses_cards())
+                || self.is_kept_from(&candidate.id, id)
+            {
                 continue;
             }
             // What is being moved goes where its place is.
@@ -256,7 +322,10 @@
             if pass.with_image && !ready {
                 continue;
             }
-            while budget > 0 && candidate.free.holds(&need) && self.accepts(id, &candidate.id) {
+            while budget > 0
+                && candidate.holds(&need, beside_a_card)
+                && self.accepts(id, &candidate.id)
+            {
                 let Some(index) = self.jobs.get(id).and_then(|j| j.next_waiting(next)) else {
                     return;
                 };
--- /dev/null
+++ b/src/scheduler/stories/faults.rs
@@ -0,0 +1,139 @@
+//! Faulty machines and broken jobs.
+
+use super::*;
+
+#[test]
+fn a_machine_failing_everything_is_left_out_and_given_back() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.worker("m-2", "a", false);
+    t.worker("m-3", "a", false);
+    for id in ["j-1", "j-2"] {
+        t.submit(spec(id, 1));
+        t.round();
+        t.beat("m-1");
+        t.workers.get_mut("m-1").unwrap().exit_all(ExitCause::Error);
+        t.beat("m-1");
+    }
+    t.beat_all();
+    assert_eq!(t.workers["m-1"].running(), 0);
+    assert_eq!(t.running(), 2, "both run elsewhere");
+    assert!(
+        t.s.plan_fleet(t.now, 0)
+            .give_back
+            .contains(&MachineId("m-1".into()))
+    );
+}
+
+#[test]
+fn a_job_failing_everywhere_backs_off_and_no_machine_is_blamed() {
+    let mut t = Story::new(0.0);
+    for i in 1..=4 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    t.submit(spec("j-1", 1));
+    for _ in 0..3 {
+        t.round();
+        t.beat_all();
+        for w in t.workers.values_mut() {
+            w.exit_all(ExitCause::Error);
+        }
+        t.beat_all();
+        t.wait(1);
+    }
+    t.round();
+    t.beat_all();
+    assert_eq!(t.running(), 0, "it waits");
+    assert!(
+        t.s.machines
+            .values()
+            .all(|m| m.life == Life::Up && m.failed_jobs.is_empty())
+    );
+    t.wait(40);
+    t.round();
+    t.beat_all();
+    assert_eq!(
+        t.running(),
+        1,
+        "and is tried again, as a mistake may be on the machines' side after all"
+    );
+}
+
+/// Plays a while in which the tasks of broken jobs fail, and all that run on these machines; the others complete.
+fn play_failing(t: &mut Story, broken: &[&str], sick: &[&str], seconds: u64) -> usize {
+    let mut failed = 0;
+    for _ in 0..seconds {
+        t.round();
+        t.beat_all();
+        for (name, w) in &mut t.workers {
+            let up = w.tasks.iter_mut();
+            for ((task, _), state) in up.filter(|(_, s)| s.0 != TaskState::Exited) {
+                let job = task.split('/').next().unwrap_or_default();
+                let fails = broken.contains(&job) || sick.contains(&name.as_str());
+                failed += usize::from(fails);
+                let cause = if fails {
+                    ExitCause::Error
+                } else {
+                    ExitCause::Done
+                };
+                *state = (TaskState::Exited, Some(cause));
+            }
+        }
+        t.beat_all();
+        t.wait(1);
+    }
+    failed
+}
+
+// Guards against good machines given back because two broken jobs met on them, against every task of a large broken job
+// being started, and rented for, again and again, and against a broken job that hides a faulty machine.
+#[test]
+fn broken_jobs_and_a_faulty_machine_are_told_apart() {
+    let mut t = Story::new(0.0);
+    for i in 1..=12 {
+        t.worker(&format!("m-{i:02}"), "a", false);
+    }
+    for id in ["j-1", "j-2"] {
+        t.submit(spec(id, 40));
+    }
+    let failed = play_failing(&mut t, &["j-1", "j-2"], &[], 60);
+    assert!(t.s.machines.values().all(|m| m.life == Life::Up));
+    assert!(
+        failed < 2 * (24 + 10),
+        "all places once, then one by one: {failed}"
+    );
+    // Good jobs go on beside them, and what fails on one machine only is that machine's fault.
+    for i in 3..=8 {
+        t.submit(spec(&format!("j-{i}"), 30));
+    }
+    play_failing(&mut t, &["j-1", "j-2"], &["m-01"], 40);
+    let sick: Vec<&MachineId> =
+        t.s.machines
+            .iter()
+            .filter(|(_, m)| m.life != Life::Up)
+            .map(|(id, _)| id)
+            .collect();
+    assert_eq!(sick, vec![&MachineId("m-01".into())]);
+    assert!((3..=8).all(|i| t.done.contains(&JobId(format!("j-{i}")))));
+    assert!(!t.done.contains(&JobId("j-1".into())));
+    let rent = t.s.plan_fleet(t.now, 100_000_000).rent;
+    assert!(rent.iter().map(|w| w.count).sum::<usize>() <= 1, "{rent:?}");
+}
+
+// Guards against a good job that met only faulty machines first being taken for broken for good, and them for good.
+#[test]
+fn a_job_that_succeeds_elsewhere_speaks_against_the_machines_where_it_failed() {
+    let mut t = Story::new(0.0);
+    for i in 1..=8 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    let sick = ["m-1", "m-2", "m-3"];
+    let first = t.submit(spec("j-1", 6));
+    play_failing(&mut t, &[], &sick, 40);
+    assert!(t.done.contains(&first), "the other machines complete it");
+    t.submit(spec("j-2", 6));
+    play_failing(&mut t, &[], &sick, 40);
+    for (id, m) in &t.s.machines {
+        assert_eq!(m.life == Life::Up, !sick.contains(&id.0.as_str()), "{id}");
+    }
+}
--- /dev/null
+++ b/src/scheduler/stories/mod.rs
@@ -0,0 +1,368 @@
+//! Short stories about the scheduler, told against workers and a store that exist only in memory, in virtual time.
+
+mod faults;
+mod fleet;
+mod orders;
+mod recovery;
+mod silence;
+mod turns;
+
+use super::*;
+use crate::cloud::{Listed, ListedStatus};
+
+const TOKEN: u64 = 7;
+
+/// A worker as the protocol describes it, as far as the stories need.
+#[derive(Default)]
+struct Worker {
+    zone: String,
+    spot: bool,
+    session: u64,
+    seq: u64,
+    token: u64,
+    notice_s: Option<f64>,
+    tasks: BTreeMap<(String, u64), (TaskState, Option<ExitCause>)>,
+}
+
+impl Worker {
+    fn report(&mut self, name: &str) -> Report {
+        self.seq += 1;
+        let tasks = self
+            .tasks
+            .iter()
+            .map(|((task, attempt), (state, cause))| ReportedTask {
+                task: task.clone(),
+                attempt: *attempt,
+                state: *state,
+                cause: *cause,
+            });
+        Report {
+            machine: MachineId(name.into()),
+            rig: "rig".into(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: self.notice_s,
+            tasks: tasks.collect(),
+        }
+    }
+
+    fn execute(&mut self, orders: &[Order], token: u64) {
+        if token < self.token {
+            return;
+        }
+        self.token = token;
+        for order in orders {
+            match order.clone() {
+                Order::Run { task, attempt } => {
+                    self.tasks
+                        .entry((task, attempt))
+                        .or_insert((TaskState::Running, None));
+                }
+                Order::Stop { task, attempt, .. } => {
+                    if let Some(t) = self.tasks.get_mut(&(task, attempt))
+                        && t.0 != TaskState::Exited
+                    {
+                        *t = (TaskState::Exited, Some(ExitCause::Stopped));
+                    }
+                }
+                Order::Clear { task, attempt } => {
+                    self.tasks.remove(&(task, attempt));
+                }
+            }
+        }
+    }
+
+    fn exit_all(&mut self, cause: ExitCause) {
+        for t in self.tasks.values_mut().filter(|t| t.0 != TaskState::Exited) {
+            *t = (TaskState::Exited, Some(cause));
+        }
+    }
+
+    fn running(&self) -> usize {
+        self.tasks
+            .values()
+            .filter(|t| t.0 != TaskState::Exited)
+            .count()
+    }
+}
+
+/// A leader's scheduler with a store and workers in memory.
+struct Story {
+    s: Scheduler,
+    now: Micros,
+    revision: u64,
+    chunks: BTreeMap<(JobId, u32), (ChunkRecord, u64)>,
+    records: BTreeMap<JobId, JobRecord>,
+    done: BTreeSet<JobId>,
+    images: BTreeMap<MachineId, Vec<CachedImage>>,
+    workers: BTreeMap<String, Worker>,
+    /// The controller that passes reports on.
+    via: &'static str,
+}
+
+fn flavor() -> Flavor {
+    Flavor {
+        name: "rig".into(),
+        cores: 16.0,
+        cards: 2.0,
+        ram_gb: 128.0,
+        cache_gb: 100.0,
+        fetch_gb_per_s: 0.5,
+        price: 6.0,
+        spot_price: 2.0,
+        boot_s: 40.0,
+        zones: vec!["a".into(), "b".into()],
+    }
+}
+
+fn knobs() -> Knobs {
+    Knobs {
+        retry: Micros::millis(400),
+        jitter: Micros::millis(100),
+        idle: None,
+        reserve: None,
+        offers_per_round: 20_000,
+        rent_per_round: 24,
+        controllers: 3,
+        report: Micros::secs(3),
+        lease: Micros::secs(36),
+        cancel: Micros::secs(60),
+        list_lag: Micros::secs(6),
+        wait_within: BTreeMap::from([("live".into(), Micros::secs(12))]),
+        guarantee_within: None,
+    }
+}
+
+fn spec(id: &str, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: JobId(id.into()),
+        class: "batch".into(),
+        team: "team".into(),
+        shape: Shape::Array,
+        priority: Priority::Low,
+        tasks,
+        cores: 6.0,
+        cards: 1.0,
+        ram_gb: 48.0,
+        image: "image".into(),
+        image_gb: 1.0,
+        rigs: None,
+        zone: None,
+        together: false,
+        spread: false,
+        spot: true,
+        expect_s: 60.0,
+        checkpoint_s: 30.0,
+        save_s: 4.0,
+        due_s: None,
+    }
+}
+
+fn live(id: &str) -> JobSpec {
+    JobSpec {
+        class: "live".into(),
+        shape: Shape::Service,
+        priority: Priority::Critical,
+        spot: false,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        ..spec(id, 1)
+    }
+}
+
+impl Story {
+    fn new(gpus_max: f64) -> Story {
+        let teams = BTreeMap::from([("team".into(), TeamShare::new(0.0, 0.0, 0.0, gpus_max))]);
+        let now = Micros::secs(1_000);
+        let mut s = Scheduler::new(knobs(), teams, TOKEN, 1, now);
+        s.set_flavors(&[flavor()]);
+        s.on_list(&[], now);
+        Story {
+            s,
+            now,
+            revision: 100,
+            chunks: BTreeMap::new(),
+            records: BTreeMap::new(),
+            done: BTreeSet::new(),
+            images: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            via: "n-1",
+        }
+    }
+
+    /// All controllers restart, or another takes over: a new scheduler gets what was written.
+    fn take_over(&mut self, token: u64) {
+        let teams = self.s.teams.clone();
+        self.s = Scheduler::new(knobs(), teams, token, 1, self.now);
+        self.s.set_flavors(&[flavor()]);
+        for (id, record) in &self.records {
+            let chunks = self.chunks.iter().filter(|((job, _), _)| job == id);
+            let chunks = chunks.map(|((_, n), (r, v))| (*n, r.clone(), *v));
+            self.s.add_job(record, None, chunks, self.now);
+        }
+        for (machine, images) in &self.images {
+            self.s.inherit_images(machine, images);
+        }
+    }
+
+    fn submit(&mut self, spec: JobSpec) -> JobId {
+        let id = spec.id.clone();
+        self.revision += 1;
+        let record = JobRecord {
+            spec: Rc::new(spec),
+            at: self.revision,
+        };
+        self.s.add_job(&record, None, std::iter::empty(), self.now);
+        self.records.insert(id.clone(), record);
+        id
+    }
+
+    fn worker(&mut self, name: &str, zone: &str, spot: bool) {
+        let worker = Worker {
+            zone: zone.into(),
+            spot,
+            session: 1,
+            ..Worker::default()
+        };
+        self.workers.insert(name.into(), worker);
+        // The first answer tells it the token, the next report shows it.
+        self.beat(name);
+        self.beat(name);
+    }
+
+    fn wait(&mut self, seconds: u64) {
+        self.now = self.now + Micros::secs(seconds);
+    }
+
+    fn commit(&mut self) {
+        loop {
+            let batch = self.s.next_batch(20, 36_000, false);
+            if batch.is_empty() {
+                return;
+            }
+            self.revision += 1;
+            for write in &batch {
+                match write {
+                    Write::Chunk {
+                        job,
+                        chunk,
+                        record,
+                        version,
+                        ..
+                    } => {
+                        let key = (job.clone(), *chunk);
+                        let before = self.chunks.get(&key).map_or(0, |(_, v)| *v);
+                        assert_eq!(before, *version, "a write must replace what was read");
+                        self.chunks.insert(key, (record.clone(), self.revision));
+                    }
+                    Write::Done { job, .. } => {
+                        self.done.insert(job.clone());
+                    }
+                    Write::Images { machine, images } => {
+                        match images {
+                            Some(i) => self.images.insert(machine.clone(), i.clone()),
+                            None => self.images.remove(machine),
+                        };
+                    }
+                    Write::Forget { job, .. } => self.chunks.retain(|(j, _), _| j != job),
+                }
+            }
+            self.s.batch_applied(&batch, self.revision);
+        }
+    }
+
+    fn round(&mut self) {
+        self.s.round(self.now);
+        self.commit();
+    }
+
+    /// A report and the orders of its answer, which do not reach the worker yet.
+    fn ask(&mut self, name: &str) -> Vec<Order> {
+        let report = self.workers.get_mut(name).expect("a worker").report(name);
+        self.deliver(&report)
+    }
+
+    fn deliver(&mut self, report: &Report) -> Vec<Order> {
+        self.s.on_report(report, self.via, self.now);
+        self.round();
+        let at = (report.session, report.seq);
+        self.s.orders_for(&report.machine, at, self.now)
+    }
+
+    /// Reports of machines whose names are these numbers, and answers that arrive.
+    fn beat_some(&mut self, numbers: impl IntoIterator<Item = usize>) {
+        for i in numbers {
+            self.beat(&format!("m-{i}"));
+        }
+    }
+
+    /// Reports of all machines but the first few, answered after one round for them all, as by a busy leader.
+    fn beat_together(&mut self, but: usize) {
+        let mut reports = Vec::new();
+        for (name, worker) in self.workers.iter_mut().skip(but) {
+            let report = worker.report(name);
+            self.s.on_report(&report, self.via, self.now);
+            reports.push(report);
+        }
+        self.round();
+        for report in reports {
+            let at = (report.session, report.seq);
+            let orders = self.s.orders_for(&report.machine, at, self.now);
+            let worker = self.workers.get_mut(&report.machine.0).expect("a worker");
+            worker.execute(&orders, self.s.token());
+        }
+    }
+
+    /// A report whose answer arrives.
+    fn beat(&mut self, name: &str) {
+        let orders = self.ask(name);
+        let token = self.s.token();
+        self.workers
+            .get_mut(name)
+            .expect("a worker")
+            .execute(&orders, token);
+    }
+
+    fn beat_all(&mut self) {
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            self.beat(&name);
+        }
+    }
+
+    fn running(&self) -> usize {
+        self.workers.values().map(Worker::running).sum()
+    }
+
+    fn free_of(&self, name: &str) -> usize {
+        self.s.machines[&MachineId(name.into())]
+            .free()
+            .count_of(&spec("j-0", 1).need())
+    }
+}
+
+fn aborted(at: u64) -> End {
+    End {
+        how: Final::Aborted,
+        at,
+        done: 0,
+    }
+}
+
+fn controller(node: &str, zone: &str, answers: bool) -> Controller {
+    Controller {
+        node: node.into(),
+        zone: zone.into(),
+        answers,
+    }
+}
+
+fn runs(orders: &[Order]) -> usize {
+    orders
+        .iter()
+        .filter(|o| matches!(o, Order::Run { .. }))
+        .count()
+}
--- /dev/null
+++ b/src/scheduler/stories/orders.rs
@@ -0,0 +1,356 @@
+//! Placing, starting, finishing and stopping.
+
+use super::*;
+
+#[test]
+fn a_job_is_placed_on_low_ids_run_and_done() {
+    let mut t = Story::new(0.0);
+    for name in ["m-3", "m-1", "m-2"] {
+        t.worker(name, "a", false);
+    }
+    let job = t.submit(spec("j-1", 3));
+    t.round();
+    t.beat_all();
+    assert_eq!(t.workers["m-1"].running(), 2);
+    assert_eq!(t.workers["m-2"].running(), 1);
+    assert_eq!(t.workers["m-3"].running(), 0);
+    for w in t.workers.values_mut() {
+        w.exit_all(ExitCause::Done);
+    }
+    t.beat_all();
+    t.beat_all();
+    t.commit();
+    assert!(t.done.contains(&job));
+    assert!(
+        t.workers.values().all(|w| w.tasks.is_empty()),
+        "all were cleared"
+    );
+}
+
+#[test]
+fn a_start_is_told_only_after_its_placement_is_written() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(spec("j-1", 1));
+    t.s.round(t.now);
+    let report = t.workers.get_mut("m-1").unwrap().report("m-1");
+    t.s.on_report(&report, "n-1", t.now);
+    let at = (report.session, report.seq);
+    assert_eq!(runs(&t.s.orders_for(&report.machine, at, t.now)), 0);
+    t.commit();
+    assert_eq!(runs(&t.s.orders_for(&report.machine, at, t.now)), 1);
+    assert_eq!(
+        runs(&t.s.orders_for(&report.machine, at, t.now)),
+        0,
+        "told once"
+    );
+}
+
+#[test]
+fn a_lost_answer_is_repeated_with_the_same_attempt_and_a_doubled_report_gets_nothing() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(spec("j-1", 1));
+    t.round();
+    let lost = t.ask("m-1");
+    assert_eq!(runs(&lost), 1);
+    let report = t.workers.get_mut("m-1").unwrap().report("m-1");
+    assert_eq!(t.deliver(&report), lost, "the same attempt again");
+    assert_eq!(
+        t.deliver(&report),
+        vec![],
+        "a copy of a report changes nothing"
+    );
+}
+
+#[test]
+fn a_finish_is_cleared_only_after_it_is_written() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(spec("j-1", 1));
+    t.round();
+    t.beat("m-1");
+    let w = t.workers.get_mut("m-1").unwrap();
+    w.exit_all(ExitCause::Done);
+    let report = w.report("m-1");
+    t.s.on_report(&report, "n-1", t.now);
+    let at = (report.session, report.seq);
+    assert_eq!(t.s.orders_for(&report.machine, at, t.now), vec![]);
+    t.commit();
+    let orders = t.s.orders_for(&report.machine, at, t.now);
+    assert!(matches!(orders[..], [Order::Clear { .. }]));
+}
+
+#[test]
+fn a_cancelled_job_is_stopped_at_once_and_never_started_again() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    let job = t.submit(spec("j-1", 4));
+    t.round();
+    t.beat("m-1");
+    assert_eq!(t.running(), 2);
+    let end = aborted(0);
+    t.s.end_job(&job, end);
+    let orders = t.ask("m-1");
+    assert!(
+        orders
+            .iter()
+            .all(|o| matches!(o, Order::Stop { slack_s, .. } if *slack_s == 0.0))
+    );
+    t.workers.get_mut("m-1").unwrap().execute(&orders, TOKEN);
+    t.beat("m-1");
+    t.beat("m-1");
+    assert_eq!(t.running(), 0);
+    assert!(t.workers["m-1"].tasks.is_empty());
+}
+
+#[test]
+fn a_cancellation_that_beats_the_write_takes_the_placement_back() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    let job = t.submit(spec("j-1", 1));
+    t.s.round(t.now);
+    let batch = t.s.next_batch(20, 36_000, false);
+    assert!(matches!(batch[0], Write::Chunk { places: true, .. }));
+    // The commit found the end key taken.
+    t.s.batch_dropped(&batch);
+    t.s.job_is_over(&job);
+    t.commit();
+    assert_eq!(runs(&t.ask("m-1")), 0);
+    assert_eq!(t.free_of("m-1"), 2);
+}
+
+#[test]
+fn a_machine_that_cannot_be_told_of_a_cancellation_goes_back_in_time() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    let job = t.submit(spec("j-1", 1));
+    t.round();
+    t.beat("m-1");
+    t.s.end_job(&job, aborted(0));
+    let half = Micros::secs(30).0;
+    assert!(t.s.plan_fleet(t.now, half).give_back.is_empty());
+    let most = Micros::secs(37).0;
+    assert_eq!(
+        t.s.plan_fleet(t.now, most).give_back,
+        vec![MachineId("m-1".into())]
+    );
+}
+
+#[test]
+fn a_stopped_task_counts_towards_the_limit_until_it_is_gone() {
+    let mut t = Story::new(2.0);
+    t.worker("m-1", "a", false);
+    t.worker("m-2", "a", false);
+    let first = t.submit(spec("j-1", 2));
+    t.round();
+    t.beat_all();
+    t.submit(spec("j-2", 2));
+    t.s.end_job(&first, aborted(0));
+    t.round();
+    // m-2 has room, but the team's two tasks on m-1 are not proven to be gone.
+    t.beat("m-2");
+    assert_eq!(t.workers["m-2"].running(), 0);
+    t.beat("m-1");
+    t.beat("m-1");
+    t.wait(1);
+    t.round();
+    t.beat_all();
+    assert_eq!(t.running(), 2);
+}
+
+#[test]
+fn spread_and_together_hold_for_every_task_that_may_be_there() {
+    let mut t = Story::new(0.0);
+    for i in 0..4 {
+        t.worker(&format!("m-a{i}"), "a", false);
+    }
+    t.worker("m-b0", "b", false);
+    t.submit(JobSpec {
+        spread: true,
+        ..spec("j-1", 5)
+    });
+    t.submit(JobSpec {
+        together: true,
+        ..spec("j-2", 3)
+    });
+    t.round();
+    t.beat_all();
+    let in_zone = |t: &Story, job: &str, zone: &str| -> usize {
+        let there = t.workers.values().filter(|w| w.zone == zone);
+        there
+            .flat_map(|w| w.tasks.keys())
+            .filter(|(task, _)| task.starts_with(job))
+            .count()
+    };
+    assert_eq!(in_zone(&t, "j-1/", "a"), 3, "five may have three in a zone");
+    assert_eq!(in_zone(&t, "j-1/", "b"), 2);
+    assert_eq!(in_zone(&t, "j-2/", "a"), 3);
+}
+
+#[test]
+fn a_notice_sends_saving_tasks_away_and_takes_no_more() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", true);
+    t.worker("m-2", "a", true);
+    t.submit(spec("j-1", 1));
+    t.round();
+    t.beat("m-1");
+    t.workers.get_mut("m-1").unwrap().notice_s = Some(15.0);
+    t.beat("m-1");
+    t.beat("m-1");
+    t.beat("m-2");
+    assert_eq!(t.workers["m-1"].running(), 0);
+    assert_eq!(t.workers["m-2"].running(), 1);
+}
+
+#[test]
+fn a_hundred_thousand_tasks_fit_into_values_and_transactions() {
+    let mut t = Story::new(0.0);
+    for i in 0..40 {
+        t.worker(&format!("m-{i:06}"), "a", false);
+    }
+    t.submit(JobSpec {
+        cores: 0.1,
+        cards: 0.0,
+        ram_gb: 0.1,
+        ..spec("j-1", MAX_TASKS)
+    });
+    for _ in 0..4 {
+        t.wait(1);
+        t.s.round(t.now);
+        let batch = t.s.next_batch(20, 36_000, false);
+        let mut bytes = 0;
+        for write in &batch {
+            if let Write::Chunk { record, .. } = write {
+                let size = serde_json::to_string(record).unwrap().len();
+                assert!(size < 4 * 1024, "a value of {size} bytes");
+                bytes += size;
+            }
+        }
+        assert!(batch.len() <= 20 && bytes < 60 * 1024, "{bytes} bytes");
+        t.revision += 1;
+        t.s.batch_applied(&batch, t.revision);
+    }
+}
+
+#[test]
+fn a_running_task_without_placement_is_adopted_not_started_elsewhere() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.worker("m-2", "a", false);
+    let stray = ("j-1/0".to_owned(), 5);
+    t.workers
+        .get_mut("m-2")
+        .unwrap()
+        .tasks
+        .insert(stray, (TaskState::Running, None));
+    t.submit(spec("j-1", 1));
+    let report = t.workers.get_mut("m-2").unwrap().report("m-2");
+    t.s.on_report(&report, "n-1", t.now);
+    t.round();
+    t.beat_all();
+    assert_eq!(t.running(), 1);
+    assert_eq!(t.workers["m-2"].running(), 1);
+}
+
+// Guards against gangs whose tasks wait for each other in vain: they find each other by their common attempt.
+#[test]
+fn a_gang_starts_whole_with_one_attempt_and_again_whole_when_it_lost_a_member() {
+    let mut t = Story::new(0.0);
+    let gang = JobSpec {
+        shape: Shape::Gang,
+        together: true,
+        ..spec("j-1", 3)
+    };
+    t.worker("m-1", "a", false);
+    t.worker("m-2", "b", false);
+    t.submit(gang);
+    t.round();
+    t.beat_all();
+    assert_eq!(t.running(), 0, "no zone has room for all three");
+    t.worker("m-3", "b", false);
+    t.wait(1);
+    t.round();
+    t.beat_all();
+    let attempts = |t: &Story| -> Vec<u64> {
+        let tasks = t.workers.values().flat_map(|w| w.tasks.iter());
+        tasks
+            .filter(|(_, s)| s.0 == TaskState::Running)
+            .map(|((_, a), _)| *a)
+            .collect()
+    };
+    let first = attempts(&t);
+    assert_eq!(first.len(), 3);
+    assert!(first.iter().all(|a| *a == first[0]));
+    assert_eq!(t.workers["m-1"].running(), 0, "together in one zone");
+    t.workers.get_mut("m-3").unwrap().exit_all(ExitCause::Other);
+    for _ in 0..4 {
+        t.beat_all();
+        t.wait(1);
+        t.round();
+    }
+    t.beat_all();
+    let second = attempts(&t);
+    assert_eq!(second.len(), 3);
+    assert!(second.iter().all(|a| *a == second[0] && *a > first[0]));
+}
+
+// Guards against tasks that wait for the end of a cut on machines beyond it, while machines on this side have room.
+#[test]
+fn what_was_not_sent_to_a_machine_out_of_touch_goes_elsewhere() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    t.worker("m-1", "b", false);
+    t.worker("m-2", "a", false);
+    t.submit(spec("j-1", 2));
+    t.round();
+    assert_eq!(t.free_of("m-1"), 0);
+    for _ in 0..3 {
+        t.wait(2);
+        t.s.on_heard("n-2", &[MachineId("m-1".into())], t.now);
+        t.beat("m-2");
+        assert!(t.s.plan_fleet(t.now, 0).give_back.is_empty());
+    }
+    t.round();
+    t.beat("m-2");
+    assert_eq!(t.workers["m-2"].running(), 2);
+    // It takes offers again once it reports here, and what runs there is left alone.
+    t.submit(spec("j-2", 2));
+    t.beat("m-1");
+    t.wait(1);
+    t.beat("m-1");
+    assert_eq!(t.workers["m-1"].running(), 2);
+}
+
+// Guards against what matters less taking the writes that users and workers wait for.
+#[test]
+fn where_writes_are_short_images_and_old_records_wait() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    let job = t.submit(spec("j-1", 1));
+    t.round();
+    t.beat("m-1");
+    let running = t.workers.get_mut("m-1").expect("a worker").report("m-1");
+    t.s.on_report(&running, "n-1", t.now);
+    assert_eq!(t.s.next_batch(20, 36_000, true), vec![]);
+    t.s.end_job(&job, aborted(0));
+    t.workers
+        .get_mut("m-1")
+        .expect("a worker")
+        .exit_all(ExitCause::Stopped);
+    let stopped = t.workers.get_mut("m-1").expect("a worker").report("m-1");
+    t.s.on_report(&stopped, "n-1", t.now);
+    let urgent = t.s.next_batch(20, 36_000, true);
+    assert!(matches!(urgent[..], [Write::Chunk { .. }]), "{urgent:?}");
+    t.revision += 1;
+    t.s.batch_applied(&urgent, t.revision);
+    assert!(matches!(
+        t.s.next_batch(20, 36_000, false)[..],
+        [Write::Images { .. }]
+    ));
+    assert!(matches!(
+        t.s.next_batch(20, 36_000, false)[..],
+        [Write::Forget { .. }]
+    ));
+}
--- /dev/null
+++ b/src/scheduler/stories/recovery.rs
@@ -0,0 +1,161 @@
+//! New leaders and restarts.
+
+use super::*;
+
+#[test]
+fn a_new_leader_does_not_take_absence_for_proof_until_its_token_was_seen() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(spec("j-1", 1));
+    t.round();
+    // The old leader's start is on its way when the new one takes over.
+    let late = t.ask("m-1");
+    t.take_over(TOKEN + 1);
+    t.worker("m-2", "a", false);
+    let orders = t.ask("m-1");
+    assert_eq!(
+        runs(&orders),
+        0,
+        "the report shows the task absent, but under the old token"
+    );
+    assert_eq!(
+        t.workers["m-2"].running(),
+        0,
+        "so it is not offered elsewhere"
+    );
+    // The late start arrives first after all: the task runs once, where it was placed.
+    t.workers.get_mut("m-1").unwrap().execute(&late, TOKEN);
+    t.workers
+        .get_mut("m-1")
+        .unwrap()
+        .execute(&orders, TOKEN + 1);
+    t.beat_all();
+    t.beat_all();
+    assert_eq!(t.running(), 1);
+}
+
+#[test]
+fn a_new_leader_frees_what_is_absent_under_its_own_token() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(spec("j-1", 1));
+    t.round();
+    let late = t.ask("m-1");
+    t.take_over(TOKEN + 1);
+    t.beat("m-1");
+    t.beat("m-1");
+    // The deposed leader's answer is dropped, as its token is lower now.
+    t.workers.get_mut("m-1").unwrap().execute(&late, TOKEN);
+    t.beat("m-1");
+    assert_eq!(t.running(), 1);
+    let attempts: Vec<u64> = t.workers["m-1"].tasks.keys().map(|(_, a)| *a).collect();
+    assert_eq!(attempts, vec![2], "attempts only rise");
+}
+
+#[test]
+fn after_a_restart_of_all_controllers_nothing_runs_twice_and_nothing_is_lost() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.worker("m-2", "b", false);
+    t.submit(spec("j-1", 4));
+    t.round();
+    t.beat_all();
+    assert_eq!(t.running(), 4);
+    t.take_over(TOKEN + 1);
+    t.beat_all();
+    t.beat_all();
+    assert_eq!(t.running(), 4);
+    for w in t.workers.values_mut() {
+        w.exit_all(ExitCause::Done);
+    }
+    t.beat_all();
+    t.beat_all();
+    assert_eq!(t.done.len(), 1);
+}
+
+// Guards against slow starts after a change of leader, when nobody knew any more which machine had which image.
+#[test]
+fn a_new_leader_knows_which_machine_has_an_image() {
+    let mut t = Story::new(0.0);
+    t.worker("m-2", "a", false);
+    let first = t.submit(spec("j-1", 1));
+    t.round();
+    t.beat("m-2");
+    t.beat("m-2");
+    t.s.end_job(&first, aborted(0));
+    t.beat("m-2");
+    t.beat("m-2");
+    t.commit();
+    t.records.remove(&first);
+    t.worker("m-1", "a", false);
+    t.take_over(TOKEN + 1);
+    t.beat_all();
+    t.beat_all();
+    t.submit(spec("j-2", 1));
+    t.round();
+    t.beat_all();
+    assert_eq!(t.workers["m-2"].running(), 1);
+    let gone = MachineId("m-2".into());
+    t.s.returned(std::slice::from_ref(&gone), t.now);
+    t.commit();
+    assert!(!t.images.contains_key(&gone));
+}
+
+// Guards against a machine that is back under a new session before the old one was missed: what it lost starts again,
+// what was on its way to the old session is not taken for started, and one such return is no deafness.
+#[test]
+fn a_machine_back_at_once_under_a_new_session_starts_its_tasks_again() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(spec("j-1", 2));
+    t.round();
+    let lost = t.ask("m-1");
+    assert_eq!(runs(&lost), 2);
+    let worker = t.workers.get_mut("m-1").expect("a worker");
+    (worker.session, worker.seq) = (2, 0);
+    t.beat("m-1");
+    t.wait(1);
+    t.beat("m-1");
+    t.beat("m-1");
+    assert_eq!(t.workers["m-1"].running(), 2);
+    let worker = t.workers.get_mut("m-1").expect("a worker");
+    worker.tasks.clear();
+    (worker.session, worker.seq) = (3, 0);
+    t.beat("m-1");
+    t.wait(1);
+    t.beat("m-1");
+    assert_eq!(t.workers["m-1"].running(), 2);
+    assert!(t.s.plan_fleet(t.now, 0).give_back.is_empty());
+}
+
+// Guards against a new leader that rents anew what runs already, and against one that waits though it heard all.
+#[test]
+fn a_new_leader_rents_once_it_has_heard_what_is_up() {
+    let mut t = Story::new(0.0);
+    t.take_over(TOKEN + 1);
+    let up = Listed {
+        machine: MachineId("m-1".into()),
+        rig: "rig".into(),
+        zone: "a".into(),
+        spot: false,
+        status: ListedStatus::Running,
+        age_s: 100.0,
+    };
+    t.submit(spec("j-1", 8));
+    assert_eq!(
+        t.s.plan_fleet(t.now, 0).rent,
+        vec![],
+        "nothing is known yet"
+    );
+    t.s.on_list(&[up], t.now);
+    assert_eq!(
+        t.s.plan_fleet(t.now, 0).rent,
+        vec![],
+        "one is up and not heard"
+    );
+    t.worker("m-1", "a", false);
+    t.wait(1);
+    t.beat("m-1");
+    let rented: usize = t.s.plan_fleet(t.now, 0).rent.iter().map(|w| w.count).sum();
+    assert_eq!(rented, 3);
+}
--- /dev/null
+++ b/src/scheduler/stories/silence.rs
@@ -0,0 +1,522 @@
+//! Who is dead, and who only out of reach.
+
+use super::*;
+
+#[test]
+fn a_silent_machine_keeps_its_tasks_until_the_cloud_says_that_it_is_gone() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.worker("m-2", "a", false);
+    t.submit(spec("j-1", 1));
+    t.round();
+    t.beat("m-1");
+    t.wait(30);
+    t.beat("m-2");
+    assert_eq!(t.workers["m-2"].running(), 0, "silence is no proof");
+    let plan = t.s.plan_fleet(t.now, 0);
+    assert_eq!(plan.give_back, vec![MachineId("m-1".into())]);
+    t.beat("m-2");
+    assert_eq!(
+        t.workers["m-2"].running(),
+        0,
+        "nor is the request to return it"
+    );
+    t.s.returned(&plan.give_back, t.now);
+    t.round();
+    t.beat("m-2");
+    assert_eq!(t.workers["m-2"].running(), 1);
+    // A report that was held up on the way does not bring the machine back.
+    let orders = t.ask("m-1");
+    assert_eq!(orders, vec![]);
+}
+
+#[test]
+fn a_zone_that_falls_silent_together_is_not_given_up() {
+    let mut t = Story::new(0.0);
+    for i in 0..8 {
+        t.worker(&format!("m-a{i}"), "a", false);
+        t.worker(&format!("m-b{i}"), "b", false);
+    }
+    t.wait(20);
+    for i in 0..8 {
+        t.beat(&format!("m-a{i}"));
+    }
+    assert!(t.s.plan_fleet(t.now, 0).give_back.is_empty());
+    // Another controller hears half of them; of the others the leases are over in the end.
+    t.wait(25);
+    let heard: Vec<MachineId> = (0..4).map(|i| MachineId(format!("m-b{i}"))).collect();
+    t.s.on_heard("n-2", &heard, t.now);
+    for i in 0..8 {
+        t.beat(&format!("m-a{i}"));
+    }
+    let given: Vec<String> =
+        t.s.plan_fleet(t.now, 0)
+            .give_back
+            .into_iter()
+            .map(|m| m.0)
+            .collect();
+    assert_eq!(given, ["m-b4", "m-b5", "m-b6", "m-b7"]);
+}
+
+#[test]
+fn a_wave_of_taken_spot_machines_is_not_taken_for_a_cut() {
+    let mut t = Story::new(0.0);
+    for i in 0..8 {
+        t.worker(&format!("m-a{i}"), "a", i >= 2);
+    }
+    t.wait(20);
+    t.beat("m-a0");
+    t.beat("m-a1");
+    assert_eq!(t.s.plan_fleet(t.now, 0).give_back.len(), 6);
+}
+
+#[test]
+fn what_the_list_lacks_is_lost_only_when_it_cannot_be_the_lists_age() {
+    let mut t = Story::new(0.0);
+    let listed = |name: &str, age_s: f64| Listed {
+        machine: MachineId(name.into()),
+        rig: "rig".into(),
+        zone: "a".into(),
+        spot: false,
+        status: ListedStatus::Running,
+        age_s,
+    };
+    t.s.on_list(&[listed("m-1", 5.0), listed("m-2", 100.0)], t.now);
+    t.s.on_list(&[], t.now);
+    assert_eq!(
+        t.s.plan_fleet(t.now, 0).give_back,
+        vec![MachineId("m-2".into())]
+    );
+}
+
+// Guards against giving up live machines in a cut: a worker may try two controllers in vain, five seconds each.
+#[test]
+fn a_machine_is_given_more_time_while_controllers_do_not_answer() {
+    let quiet_until_given_up = |silent: &[(&str, &str)]| {
+        let mut controllers = vec![controller("n-0", "a", true), controller("n-1", "a", true)];
+        controllers.push(controller("n-2", "b", true));
+        controllers.extend(silent.iter().map(|(n, z)| controller(n, z, false)));
+        let mut t = Story::new(0.0);
+        for i in 0..8 {
+            t.worker(&format!("m-{i}"), "a", false);
+        }
+        // Long enough in office to know whether all is well.
+        for _ in 0..20 {
+            t.wait(1);
+            t.s.set_controllers(&controllers, t.now);
+            t.beat_all();
+        }
+        for second in 1..30 {
+            t.wait(1);
+            t.s.set_controllers(&controllers, t.now);
+            t.beat_some(1..8);
+            if !t.s.plan_fleet(t.now, 0).give_back.is_empty() {
+                return second;
+            }
+        }
+        30
+    };
+    assert_eq!(quiet_until_given_up(&[]), 7);
+    assert_eq!(quiet_until_given_up(&[("n-3", "b")]), 12);
+    assert_eq!(quiet_until_given_up(&[("n-3", "a")]), 17);
+    assert_eq!(quiet_until_given_up(&[("n-3", "b"), ("n-4", "b")]), 17);
+}
+
+// Guards against giving up a cut zone a few machines at a time, as they fall silent one after the other.
+#[test]
+fn a_zone_that_falls_silent_bit_by_bit_is_not_eaten_up() {
+    let mut t = Story::new(0.0);
+    for i in 0..12 {
+        t.worker(&format!("m-a{i:02}"), "a", false);
+        t.worker(&format!("m-b{i:02}"), "b", false);
+    }
+    let mut given = 0;
+    for second in 0..20 {
+        t.wait(1);
+        for i in 0..12 {
+            t.beat(&format!("m-a{i:02}"));
+            if i > second {
+                t.beat(&format!("m-b{i:02}"));
+            }
+        }
+        let plan = t.s.plan_fleet(t.now, 0);
+        given += plan.give_back.len();
+        t.s.returned(&plan.give_back, t.now);
+    }
+    assert!((1..=3).contains(&given), "{given} given up");
+}
+
+/// Reports that go out, each by another controller as nobody answers, while the orders of their answers are lost.
+fn unheard(t: &mut Story, name: &str, nth: usize) -> Vec<Order> {
+    t.via = ["n-1", "n-2", "n-3"][nth % 3];
+    let orders = t.ask(name);
+    t.via = "n-1";
+    orders
+}
+
+// Guards against a machine whose reports arrive while answers do not reach it: silence never shows, and id order would
+// send the same task there for ever.
+#[test]
+fn a_machine_that_hears_no_answer_takes_no_more_and_goes_back() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    for i in 1..9 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    t.submit(spec("j-1", 1));
+    t.round();
+    assert_eq!(runs(&unheard(&mut t, "m-1", 0)), 1);
+    t.wait(5);
+    assert_eq!(
+        runs(&unheard(&mut t, "m-1", 1)),
+        1,
+        "one lost answer says nothing"
+    );
+    t.wait(5);
+    assert_eq!(runs(&unheard(&mut t, "m-1", 2)), 0, "two in a row do");
+    t.wait(1);
+    t.beat_some(2..9);
+    assert_eq!(t.workers["m-2"].running(), 1, "its start was proven lost");
+    // A task that it does run, and that must stop, is lost on deaf ears as well; then the machine is given back.
+    let stuck = t.submit(spec("j-2", 40));
+    t.round();
+    t.beat("m-1");
+    assert_eq!(t.workers["m-1"].running(), 0);
+    t.wait(60);
+    t.beat_all();
+    t.beat_all();
+    assert!(
+        t.workers["m-1"].running() > 0,
+        "answers arrive again, so it takes offers again"
+    );
+    t.s.end_job(&stuck, aborted(0));
+    let mut waited = 0;
+    while t.s.plan_fleet(t.now, 0).give_back.is_empty() {
+        t.wait(5);
+        waited += 5;
+        unheard(&mut t, "m-1", waited);
+        t.beat_some(2..9);
+        assert!(
+            waited <= 30,
+            "its reports must not count as signs of life for ever"
+        );
+    }
+    let gone = t.s.plan_fleet(t.now, 0).give_back;
+    assert_eq!(gone, [MachineId("m-1".into())]);
+    assert!(
+        t.workers["m-1"].running() > 0,
+        "and until then nothing of it ran elsewhere"
+    );
+}
+
+// Guards against emptying a zone behind a cut through which only one direction passes.
+#[test]
+fn many_machines_that_hear_no_answer_are_taken_for_a_cut() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    for i in 0..8 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    let job = t.submit(spec("j-1", 16));
+    t.round();
+    t.beat_all();
+    t.s.end_job(&job, aborted(0));
+    for second in (0..30).step_by(5) {
+        t.wait(5);
+        for i in 0..8 {
+            let name = format!("m-{i}");
+            if i < 4 {
+                unheard(&mut t, &name, second / 5);
+            } else {
+                t.beat(&name);
+            }
+        }
+        assert!(
+            t.s.plan_fleet(t.now, 0).give_back.is_empty(),
+            "after {second} s"
+        );
+    }
+}
+
+// Guards against late copies of reports: of a machine returned, of an earlier state, of an earlier session.
+#[test]
+fn late_copies_of_reports_prove_nothing_bring_nothing_back_and_count_nothing_twice() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.worker("m-2", "a", false);
+    let before_any = t.workers.get_mut("m-1").expect("a worker").report("m-1");
+    t.submit(spec("j-1", 2));
+    t.round();
+    t.beat("m-1");
+    t.beat("m-1");
+    assert_eq!(t.workers["m-1"].running(), 2);
+    // To the same leader: the copy lacks the tasks, which proves nothing.
+    t.wait(40);
+    assert_eq!(t.deliver(&before_any), vec![]);
+    assert_eq!(t.s.jobs[&JobId("j-1".into())].live, 2);
+    // To a new leader that has not heard the machine: no proof, no sign that it is there, no orders to start.
+    t.submit(spec("j-2", 2));
+    t.take_over(TOKEN + 1);
+    assert_eq!(runs(&t.deliver(&before_any)), 0);
+    assert_eq!(t.s.jobs[&JobId("j-1".into())].live, 2);
+    // A machine that the earlier leader returned is not brought back to take offers.
+    let mut lost = Worker {
+        zone: "a".into(),
+        session: 1,
+        token: TOKEN,
+        ..Worker::default()
+    };
+    for _ in 0..4 {
+        t.wait(1);
+        let copy = lost.report("m-0");
+        assert_eq!(runs(&t.deliver(&copy)), 0);
+    }
+    assert!(t.s.machines[&MachineId("m-0".into())].held.is_empty());
+    // A finish told again, in a copy and from an earlier session, counts once; its clear goes out as ever.
+    t.beat_all();
+    t.workers
+        .get_mut("m-1")
+        .expect("a worker")
+        .exit_all(ExitCause::Done);
+    let finished = t.workers.get_mut("m-1").expect("a worker").report("m-1");
+    t.deliver(&finished);
+    t.deliver(&finished);
+    assert_eq!(t.s.jobs[&JobId("j-1".into())].done, 2);
+    assert_eq!(t.done.len(), 1);
+    t.take_over(TOKEN + 2);
+    t.deliver(&finished);
+    assert_eq!(t.s.jobs[&JobId("j-1".into())].done, 2);
+    // From a machine that this leader returned: nothing at all.
+    let gone = MachineId("m-1".into());
+    t.s.returned(std::slice::from_ref(&gone), t.now);
+    assert_eq!(t.deliver(&finished), vec![]);
+    assert!(!t.s.machines.contains_key(&gone));
+}
+
+// Guards against giving up the workers of a controller that lost the state service and the other controllers, but keeps
+// its workers alive; and against keeping for ever what died behind it.
+#[test]
+fn the_workers_of_a_controller_that_lost_everything_else_are_not_given_up() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    for i in 0..10 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    let mut controllers = vec![controller("n-0", "a", true), controller("n-1", "a", true)];
+    let beat = |t: &mut Story, nth: usize| {
+        t.via = if nth == 0 { "n-1" } else { "n-0" };
+        t.beat(&format!("m-{nth}"));
+    };
+    (0..10).for_each(|i| beat(&mut t, i));
+    controllers[1].answers = false;
+    for _ in 0..30 {
+        t.wait(3);
+        t.s.set_controllers(&controllers, t.now);
+        (1..10).for_each(|i| beat(&mut t, i));
+        assert!(t.s.plan_fleet(t.now, 0).give_back.is_empty());
+    }
+    // Once the controller answers again, its workers have the time to be heard.
+    controllers[1].answers = true;
+    t.wait(1);
+    t.s.set_controllers(&controllers, t.now);
+    assert!(
+        t.s.plan_fleet(t.now, 0).give_back.is_empty(),
+        "the cut has only just ended"
+    );
+    // One that the cloud says has failed is not waited for.
+    let listed = (0..10).map(|i| Listed {
+        machine: MachineId(format!("m-{i}")),
+        rig: "rig".into(),
+        zone: "a".into(),
+        spot: false,
+        status: if i == 0 {
+            ListedStatus::Failed
+        } else {
+            ListedStatus::Running
+        },
+        age_s: 100.0,
+    });
+    t.s.on_list(&listed.collect::<Vec<_>>(), t.now);
+    assert_eq!(
+        t.s.plan_fleet(t.now, 0).give_back,
+        [MachineId("m-0".into())]
+    );
+}
+
+// Guards against what gave up 186 live machines on a quiet day: reports through one controller were held up for a few
+// seconds, and its workers, fewer than a quarter of all, were taken to have died.
+#[test]
+fn many_late_workers_of_one_controller_are_given_the_time_to_find_another() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    for i in 0..40 {
+        t.via = ["n-1", "n-2", "n-3", "n-4", "n-5"][i % 5];
+        t.worker(&format!("m-{i:02}"), ["a", "b"][i % 2], false);
+    }
+    let controllers: Vec<Controller> = ["n-1", "n-2", "n-3", "n-4", "n-5"]
+        .iter()
+        .map(|n| controller(n, "a", true))
+        .collect();
+    for second in 0..32 {
+        t.wait(1);
+        t.s.set_controllers(&controllers, t.now);
+        for i in (0..40).filter(|i| i % 5 != 0 || second < 20) {
+            t.via = ["n-1", "n-2", "n-3", "n-4", "n-5"][i % 5];
+            t.beat(&format!("m-{i:02}"));
+        }
+        let given = t.s.plan_fleet(t.now, 0).give_back;
+        assert!(given.is_empty(), "{given:?} after {second} s");
+    }
+}
+
+// Guards against what gave up 235 live machines: the leader held most workers of a large fleet, lost the way to all of
+// them, and every one of them late by a few seconds was taken to have died while the others were not late yet.
+#[test]
+fn a_way_that_stops_as_a_whole_is_no_death_of_its_machines() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    let via = |i: usize| if i.is_multiple_of(10) { "n-1" } else { "" };
+    for i in 0..300 {
+        t.via = via(i);
+        t.worker(&format!("m-{i:03}"), ["a", "b"][i % 2], false);
+    }
+    let controllers = [controller("n-0", "a", true), controller("n-1", "b", true)];
+    let mut given = Vec::new();
+    for second in 0..60 {
+        t.wait(1);
+        t.s.set_controllers(&controllers, t.now);
+        // From the 30th second on the leader hears its own workers no more; they find the other one after 12 s. One
+        // that reports there died at the same time.
+        let lost = |i: usize| via(i).is_empty() && second < 42 || i == 10;
+        for i in (0..300).filter(|i| i % 3 == second % 3 && (second < 30 || !lost(*i))) {
+            t.via = if second < 30 { via(i) } else { "n-1" };
+            t.beat(&format!("m-{i:03}"));
+        }
+        let plan = t.s.plan_fleet(t.now, 0);
+        given.extend(plan.give_back.iter().map(|m| (m.clone(), second)));
+        t.s.returned(&plan.give_back, t.now);
+    }
+    assert_eq!(given, vec![(MachineId("m-010".into()), 35)]);
+}
+
+// Guards against giving up the first quarter of a cut zone that has no controller, which is late a little before the rest.
+#[test]
+fn a_zone_that_goes_dark_is_not_given_up_before_its_leases_are_over() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    t.s.knobs.report = Micros::secs(6);
+    for i in 0..60 {
+        t.worker(&format!("m-{i}"), ["a", "a", "b"][i % 3], false);
+    }
+    let controllers = [controller("n-0", "a", true), controller("n-1", "a", true)];
+    let mut first = 0;
+    for second in 0..80 {
+        t.wait(1);
+        t.s.set_controllers(&controllers, t.now);
+        // Every machine reports every sixth second; from the 30th on those of the other zone are not heard.
+        let heard = |i: &usize| i / 3 % 6 == second % 6 && (i % 3 != 2 || second < 30);
+        t.beat_some((0..60).filter(heard));
+        let given = t.s.plan_fleet(t.now, 0).give_back;
+        if !given.is_empty() {
+            first = second;
+            break;
+        }
+    }
+    assert!((30 + 36..30 + 45).contains(&first), "after {first} s");
+}
+
+// Guards against a leader that stood still for longer than a lease and still leads, as after an outage: what it did not
+// hear meanwhile is no silence.
+#[test]
+fn a_leader_that_stood_still_gives_nobody_up_for_it() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    for i in 0..20 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    t.wait(50);
+    t.s.stood_still(Micros::secs(50), t.now);
+    for _ in 0..6 {
+        assert_eq!(t.s.plan_fleet(t.now, 0).give_back, vec![]);
+        t.wait(1);
+    }
+    t.beat_some(1..20);
+    t.wait(15);
+    t.beat_some(1..20);
+    let given = t.s.plan_fleet(t.now, 0).give_back;
+    assert_eq!(given, vec![MachineId("m-0".into())], "silent since");
+    t.s.returned(&given, t.now);
+    // One that stops for a second every three still finds the next that dies.
+    for second in 0..40 {
+        t.wait(1);
+        if second % 3 == 0 {
+            t.s.stood_still(Micros::secs(1), t.now);
+        }
+        t.beat_some(2..20);
+        let given = t.s.plan_fleet(t.now, 0).give_back;
+        if !given.is_empty() {
+            assert_eq!(given, vec![MachineId("m-1".into())]);
+            return;
+        }
+    }
+    panic!("a dead machine was never found");
+}
+
+// Guards against a leader that keeps every worker after a filter between controllers.
+#[test]
+fn a_leader_with_too_many_workers_of_its_own_sheds_them_bit_by_bit_once_all_is_well() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    t.via = "";
+    for i in 0..30 {
+        t.worker(&format!("m-{i:02}"), "a", false);
+    }
+    let controllers = [controller("n-0", "a", true), controller("n-1", "a", true)];
+    let shed_after = |t: &mut Story, seconds: u64| {
+        let mut shed = 0;
+        for _ in 0..seconds {
+            t.wait(1);
+            t.s.set_controllers(&controllers, t.now);
+            t.beat_all();
+            t.s.plan_fleet(t.now, 0);
+            shed = (0..30).filter(|_| t.s.sheds_worker()).count();
+        }
+        shed
+    };
+    assert_eq!(
+        shed_after(&mut t, 10),
+        0,
+        "not while it may still be needed"
+    );
+    assert_eq!(shed_after(&mut t, 20), 1, "ten too many, so one at a time");
+    t.via = "n-1";
+    assert_eq!(shed_after(&mut t, 2), 0, "and none once others have them");
+}
+
+// Guards against giving up the workers beyond a cut of two other zones, of which this controller reaches every one.
+#[test]
+fn a_cut_that_only_others_see_ends_the_calm() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    for i in 0..20 {
+        t.worker(&format!("m-{i:02}"), ["a", "b"][i % 2], false);
+    }
+    let controllers = [controller("n-0", "c", true), controller("n-1", "a", true)];
+    let mut given = Vec::new();
+    for second in 0..30 {
+        t.wait(1);
+        t.s.set_controllers(&controllers, t.now);
+        if second >= 20 {
+            t.s.end_calm();
+        }
+        for i in (0..20).filter(|i| i % 7 != 0 || second < 20) {
+            t.beat(&format!("m-{i:02}"));
+        }
+        given.extend(t.s.plan_fleet(t.now, 0).give_back);
+    }
+    assert_eq!(
+        given,
+        vec![],
+        "they find another controller within ten seconds"
+    );
+}
--- /dev/null
+++ b/src/scheduler/stories/turns.rs
@@ -0,0 +1,409 @@
+//! Whose turn it is, preemption, and rounds that stay bounded.
+
+use super::*;
+
+#[test]
+fn a_critical_task_takes_the_place_of_a_low_one_and_keeps_it() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(spec("j-1", 3));
+    t.round();
+    t.beat("m-1");
+    t.submit(live("j-2"));
+    t.round();
+    let stops = t.ask("m-1");
+    assert!(
+        matches!(stops[..], [Order::Stop { slack_s, .. }] if slack_s >= 4.0),
+        "it may save"
+    );
+    t.workers.get_mut("m-1").unwrap().execute(&stops, TOKEN);
+    // The victim and the third task wait as well, but the room was made for the critical one.
+    t.beat("m-1");
+    let names: Vec<&String> = t.workers["m-1"].tasks.keys().map(|(n, _)| n).collect();
+    assert!(names.iter().any(|n| n.starts_with("j-2/")), "{names:?}");
+}
+
+#[test]
+fn low_work_never_stops_critical_work() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(JobSpec {
+        class: "other".into(),
+        tasks: 2,
+        ..live("j-1")
+    });
+    t.round();
+    t.beat("m-1");
+    t.submit(JobSpec {
+        class: "live".into(),
+        ..spec("j-2", 1)
+    });
+    t.round();
+    assert_eq!(t.ask("m-1"), vec![]);
+}
+
+#[test]
+fn an_overload_is_offered_to_samples_and_the_round_stays_bounded() {
+    let mut t = Story::new(0.0);
+    for i in 0..200 {
+        t.worker(&format!("m-{i:06}"), "a", false);
+    }
+    t.s.knobs.offers_per_round = 5_000;
+    for i in 0..2_000 {
+        // There is room for them, but no machine of their zone.
+        t.submit(JobSpec {
+            zone: Some("b".into()),
+            ..spec(&format!("j-{i:06}"), 3)
+        });
+    }
+    t.s.round(t.now);
+    assert!(t.s.offers_made >= 8 * 2_000);
+    // Two passes over at least eight machines for each job: far from the 800,000 of a full search.
+    assert!(
+        t.s.offers_made <= 2 * 8 * 2_000,
+        "{} offers",
+        t.s.offers_made
+    );
+}
+
+// Guards against two jobs within their guarantees taking one place from each other every few seconds.
+#[test]
+fn a_guarantee_is_taken_from_what_is_lent_but_not_from_another_guarantee() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.guarantee_within = Some(Micros::secs(15));
+    for name in ["one", "two"] {
+        t.s.teams
+            .insert(name.into(), TeamShare::new(0.0, 0.0, 1.0, 0.0));
+    }
+    t.worker("m-1", "a", false);
+    t.submit(JobSpec {
+        team: "one".into(),
+        ..spec("j-1", 1)
+    });
+    t.submit(JobSpec {
+        team: "one".into(),
+        ..spec("j-2", 1)
+    });
+    t.round();
+    t.beat("m-1");
+    t.submit(JobSpec {
+        team: "two".into(),
+        ..spec("j-3", 1)
+    });
+    t.round();
+    let orders = t.ask("m-1");
+    assert!(
+        matches!(&orders[..], [Order::Stop { task, .. }] if task == "j-2/0"),
+        "{orders:?}"
+    );
+}
+
+// Guards against work with a deadline being stopped, or left waiting, though other work has time to spare.
+#[test]
+fn what_is_due_first_goes_first_and_is_stopped_last() {
+    let mut t = Story::new(0.0);
+    let due = |id: &str, due_s: f64| JobSpec {
+        due_s: Some(due_s),
+        spot: false,
+        ..spec(id, 1)
+    };
+    t.submit(due("j-1", 500.0));
+    t.submit(due("j-2", 100.0));
+    t.submit(due("j-3", 100.0));
+    t.worker("m-1", "a", false);
+    t.s.plan_fleet(t.now, Micros::secs(1).0);
+    t.wait(1);
+    t.beat("m-1");
+    t.beat("m-1");
+    let on = |t: &Story, id: &str| t.s.jobs[&JobId(id.into())].live;
+    assert_eq!((on(&t, "j-1"), on(&t, "j-2"), on(&t, "j-3")), (0, 1, 1));
+    // Now two with ample and with little time run, and a service takes the place of the one with ample time.
+    let mut t = Story::new(0.0);
+    t.submit(due("j-1", 80.0));
+    t.submit(due("j-2", 500.0));
+    t.worker("m-1", "a", false);
+    t.wait(1);
+    t.beat("m-1");
+    t.beat("m-1");
+    t.s.plan_fleet(t.now, Micros::secs(10).0);
+    t.submit(live("j-9"));
+    t.round();
+    let stops = t.ask("m-1");
+    assert!(
+        matches!(&stops[..], [Order::Stop { task, .. }] if task == "j-2/0"),
+        "{stops:?}"
+    );
+}
+
+// Guards against stops that spare a service the fetch of its image and cost a batch job its deadline.
+#[test]
+fn what_a_stop_would_make_late_is_not_stopped_only_to_spare_a_fetch() {
+    let stopped = |due_s: f64| {
+        let mut t = Story::new(0.0);
+        t.submit(JobSpec {
+            due_s: Some(due_s),
+            spot: false,
+            ..spec("j-1", 2)
+        });
+        for name in ["m-1", "m-2"] {
+            t.worker(name, "a", false);
+        }
+        t.wait(1);
+        t.beat_all();
+        t.beat_all();
+        assert_eq!(t.workers["m-1"].running(), 2);
+        t.s.plan_fleet(t.now, Micros::secs(10).0);
+        // Its image is on the first machine; on the second, which has room, it must be fetched for too long.
+        t.s.machines
+            .get_mut(&MachineId("m-1".into()))
+            .unwrap()
+            .images = vec![("big".into(), 10.0)];
+        t.submit(JobSpec {
+            image: "big".into(),
+            image_gb: 10.0,
+            ..live("j-9")
+        });
+        t.round();
+        let p = t.s.jobs[&JobId("j-1".into())].placement(1).expect("placed");
+        p.stopping.is_some() || t.s.jobs[&JobId("j-9".into())].waiting() > 0
+    };
+    assert!(stopped(500.0), "there is time to run it again");
+    assert!(!stopped(80.0), "it would be late");
+}
+
+// Guards against rounds whose work follows the size of the fleet and of the queue, not what changed and what has room.
+#[test]
+fn a_round_of_a_large_fleet_is_bounded_and_costs_nothing_where_nothing_has_room() {
+    let mut t = Story::new(0.0);
+    for i in 0..2_000 {
+        t.worker(&format!("m-{i:06}"), ["a", "b"][i % 2], false);
+    }
+    for i in 0..1_600 {
+        t.submit(spec(&format!("j-{i:06}"), 3));
+    }
+    t.wait(1);
+    let before = t.revision;
+    t.s.round(t.now);
+    let most = 2 * t.s.knobs.offers_per_round;
+    assert!(t.s.offers_made <= most, "{} offers", t.s.offers_made);
+    t.commit();
+    // Twenty jobs' placements go into one transaction.
+    let batches = t.revision - before;
+    assert!(batches <= 1_600 / 20 + 1, "{batches} batches");
+    for _ in 0..8 {
+        t.wait(1);
+        t.round();
+    }
+    let placed: usize = t.s.machines.values().map(|m| m.held.len()).sum();
+    assert_eq!(placed, 4_000, "samples must not miss the machines that fit");
+    // Now everything is full and eight hundred tasks wait: nobody is asked, nothing is written.
+    t.wait(1);
+    let before = t.revision;
+    t.round();
+    assert_eq!((t.s.offers_made, t.revision), (0, before));
+    // One machine has room again: only that is asked.
+    let first = MachineId("m-000000".into());
+    t.beat_together(0);
+    t.workers
+        .get_mut(&first.0)
+        .expect("a worker")
+        .exit_all(ExitCause::Done);
+    t.wait(1);
+    let report = t
+        .workers
+        .get_mut(&first.0)
+        .expect("a worker")
+        .report(&first.0);
+    t.s.on_report(&report, "n-1", t.now);
+    t.s.round(t.now);
+    assert!(t.s.offers_made <= 2 * 1_600, "{} offers", t.s.offers_made);
+    assert_eq!(t.s.machines[&first].held.len(), 2);
+    // What is kept for a placed task.
+    let kept: usize = t
+        .chunks
+        .values()
+        .map(|(record, _)| serde_json::to_string(record).expect("json").len())
+        .sum();
+    assert!(kept <= 4_000 * 40, "{kept} bytes");
+    // All controllers restart: the new leader hears two thousand machines on which all runs on, writes only down what
+    // the last one had not, and rents and gives back nothing.
+    t.beat_together(0);
+    t.take_over(TOKEN + 1);
+    t.beat_together(0);
+    t.beat_together(0);
+    let before = t.revision;
+    t.beat_together(0);
+    assert_eq!(t.revision, before, "nothing changed, nothing is written");
+    t.s.on_list(&[], t.now);
+    assert_eq!(t.running(), 4_000);
+    assert_eq!(t.s.plan_fleet(t.now, 0).give_back, vec![]);
+    // A tenth of them dies: every one is named, in few lines.
+    t.s.take_notes();
+    t.wait(1);
+    t.beat_together(200);
+    t.wait(20);
+    t.beat_together(200);
+    assert_eq!(t.s.plan_fleet(t.now, 0).give_back.len(), 200);
+    let (notes, _) = t.s.take_notes();
+    let vanished = notes.iter().filter(|n| n.contains("machine_vanished"));
+    let named: usize = vanished.clone().map(|n| n.matches("m-").count()).sum();
+    assert_eq!((vanished.count(), named), (8, 200));
+}
+
+/// Lets small jobs come as fast as small tasks end, one task a second, and says after how many seconds a task of the
+/// large job runs.
+fn begins_among_small_ones(t: &mut Story, small: &JobSpec, large: JobSpec) -> u64 {
+    t.s.knobs.idle = Some(Micros::secs(10_000));
+    let mut next = 0;
+    let mut small_job = |t: &mut Story| {
+        next += 1;
+        let id = JobId(format!("j-{next:04}"));
+        t.submit(JobSpec {
+            id,
+            ..small.clone()
+        });
+    };
+    (0..12).for_each(|_| small_job(t));
+    t.wait(1);
+    t.beat_all();
+    t.beat_all();
+    let large = t.submit(large);
+    for second in 1..240 {
+        t.wait(1);
+        let name = t
+            .workers
+            .keys()
+            .nth(second as usize % t.workers.len())
+            .cloned();
+        let worker = t
+            .workers
+            .get_mut(&name.expect("a worker"))
+            .expect("a worker");
+        let one = worker
+            .tasks
+            .values_mut()
+            .find(|s| s.0 == TaskState::Running);
+        if let Some(one) = one {
+            *one = (TaskState::Exited, Some(ExitCause::Done));
+            small_job(t);
+        }
+        t.beat_all();
+        if t.s.jobs[&large].live > 0 {
+            return second;
+        }
+    }
+    240
+}
+
+// Guards against small jobs passing a large one for ever.
+#[test]
+fn a_large_job_begins_though_small_ones_keep_coming() {
+    let small = spec("j-0", 1);
+    let large = JobSpec {
+        cards: 2.0,
+        ..spec("j-9999", 1)
+    };
+    // It needs a whole machine, and machines are never empty.
+    let mut t = Story::new(0.0);
+    for i in 0..3 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    let waited = begins_among_small_ones(&mut t, &small, large.clone());
+    assert!(waited < 120, "{waited} s for a machine");
+    // Its team is always at its limit.
+    let mut t = Story::new(4.0);
+    for i in 0..6 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    let waited = begins_among_small_ones(&mut t, &small, large.clone());
+    assert!(waited < 120, "{waited} s for the team");
+    // Its tasks may only be in a zone whose machines are always taken.
+    let mut t = Story::new(0.0);
+    for i in 0..4 {
+        t.worker(&format!("m-{i}"), ["a", "b"][i % 2], false);
+    }
+    let bound = JobSpec {
+        zone: Some("b".into()),
+        ..large.clone()
+    };
+    let waited = begins_among_small_ones(&mut t, &small, bound);
+    assert!(waited < 120, "{waited} s for a zone");
+    // All its tasks must run together, in one zone.
+    let mut t = Story::new(0.0);
+    for i in 0..6 {
+        t.worker(&format!("m-{i}"), ["a", "b"][i % 2], false);
+    }
+    let gang = JobSpec {
+        shape: Shape::Gang,
+        tasks: 3,
+        together: true,
+        ..large
+    };
+    let waited = begins_among_small_ones(&mut t, &small, gang);
+    assert!(waited < 240, "{waited} s for a gang");
+    // A service at its share of one zone waits for the other, where small tasks of its own size come and go.
+    let mut t = Story::new(0.0);
+    for i in 0..4 {
+        t.worker(&format!("m-{i}"), ["a", "b"][i % 2], false);
+    }
+    let spread = JobSpec {
+        tasks: 4,
+        spread: true,
+        priority: Priority::Low,
+        class: "other".into(),
+        ..live("j-9999")
+    };
+    let waited = begins_among_small_ones(&mut t, &small, spread);
+    assert!(waited < 120, "{waited} s for its share");
+}
+
+// Guards against an image that a large fleet has on few machines only, and against small fleets being scattered.
+#[test]
+fn a_slow_fetch_is_spread_over_machines_where_there_are_many() {
+    let used = |machines: usize| {
+        let mut t = Story::new(0.0);
+        for i in 0..machines {
+            t.worker(&format!("m-{i:04}"), "a", false);
+        }
+        t.submit(JobSpec {
+            tasks: 4,
+            image_gb: 6.0,
+            ..live("j-1")
+        });
+        t.round();
+        let held = t.s.machines.values().filter(|m| !m.held.is_empty());
+        held.count()
+    };
+    assert_eq!(used(10), 2);
+    assert_eq!(used(200), 4);
+}
+
+#[test]
+fn what_cannot_be_in_time_gives_way_but_not_for_ever() {
+    let mut t = Story::new(0.0);
+    let due = |id: &str, due_s: f64| JobSpec {
+        due_s: Some(due_s),
+        ..spec(id, 1)
+    };
+    // Each takes a minute: the first can't make it, the second can, the third has much time.
+    let late = t.submit(due("j-1", 50.0));
+    let fair = t.submit(due("j-2", 90.0));
+    let ample = t.submit(due("j-3", 1_000.0));
+    let order = |t: &mut Story, at_s: u64| {
+        t.s.wall = Micros::secs(at_s).0;
+        let mut jobs: Vec<&Job> = t.s.jobs.values().collect();
+        t.s.sort_by_turn(&mut jobs);
+        let ids = jobs.iter().map(|j| j.spec.id.clone());
+        ids.collect::<Vec<_>>()
+    };
+    assert_eq!(
+        order(&mut t, 0),
+        [late.clone(), fair.clone(), ample.clone()]
+    );
+    assert_eq!(
+        order(&mut t, 25),
+        [fair.clone(), late.clone(), ample.clone()]
+    );
+    // Even what is long overdue stays before what is due later than three times its time.
+    assert_eq!(order(&mut t, 200), [late, fair, ample]);
+}
