A machine holds at most 400 tasks, as more would make its report too long

Cause, read from the protocol: a report names every task, cleared ones excepted, and may be 64 KiB long; tasks of a hundredth of a processor would have been placed by the thousand on one machine, whose report is then refused until its lease is over.

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -59,6 +59,8 @@
 struct Bin {
     pool: Pool,
     free: Room,
+    /// How many more tasks it may take, whatever their size.
+    slots: usize,
     new: bool,
     /// Whether the room is there only once tasks that run there now have ended.
     later: bool,
@@ -493,6 +495,7 @@
                         spot: m.spot,
                     },
                     free,
+                    slots: MOST_TASKS.saturating_sub(m.reported_tasks()),
                     new: false,
                     later,
                 });
@@ -506,6 +509,7 @@
                 bins.push(Bin {
                     pool: want.pool.clone(),
                     free: flavor.room(),
+                    slots: MOST_TASKS,
                     new: false,
                     later: false,
                 });
@@ -572,11 +576,13 @@
         // What did not take one task of a job does not take the next.
         while let Some(bin) = plan.bins.get_mut(plan.next) {
             if bin.free.holds(&need)
+                && bin.slots > 0
                 && (patient || !bin.later)
                 && job.allows(&bin.pool.rig, &bin.pool.zone, bin.pool.spot)
                 && zone_fits(&bin.pool.zone)
             {
                 bin.free -= need;
+                bin.slots -= 1;
                 return Some(bin.pool.zone.clone());
             }
             plan.next += 1;
@@ -591,6 +597,7 @@
         plan.bins.push(Bin {
             pool,
             free: room - need,
+            slots: MOST_TASKS - 1,
             new: true,
             later: false,
         });
--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -22,6 +22,11 @@
 /// Guards against spare-time work that comes in thousands of long tasks: by its age it would go before all that has a
 /// deadline, which could not be met any more.
 const UNDATED: Micros = Micros::secs(600);
+/// Most tasks on one machine.
+///
+/// Guards against a report that is longer than a body may be: some 140 bytes a task at the most. A machine of which such a
+/// report was refused would lose its lease with everything on it.
+pub(super) const MOST_TASKS: usize = 400;
 /// Largest amount that a submission may name.
 const MAX_AMOUNT: f64 = 1e9;
 
@@ -859,6 +864,11 @@
         }
     }
 
+    /// How many tasks its next report will name: those placed, those that nobody placed, and those not cleared yet.
+    pub fn reported_tasks(&self) -> usize {
+        self.held.len() + self.extra.len() + self.exited.len()
+    }
+
     /// Whether nothing is on it.
     pub fn is_empty(&self) -> bool {
         self.held.is_empty() && self.extra.is_empty()
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -30,6 +30,8 @@
     free: Room,
     /// All of its accelerators.
     cards: i64,
+    /// Tasks that its next report will name.
+    tasks: usize,
 }
 
 impl Candidate {
@@ -39,6 +41,9 @@
 
     /// Whether a task fits; what takes no accelerators leaves so much for each free one beside others in use.
     fn holds(&self, need: &Room, beside_a_card: Room) -> bool {
+        if self.tasks >= MOST_TASKS {
+            return false;
+        }
         if need.cards > 0 || !self.uses_cards() {
             return self.free.holds(need);
         }
@@ -250,6 +255,7 @@
                 spot: m.spot,
                 free: m.free(),
                 cards: m.total.cards,
+                tasks: m.reported_tasks(),
             })
             .collect()
     }
@@ -334,6 +340,7 @@
                 }
                 self.place(id, index, &candidate.id, now);
                 candidate.free -= need;
+                candidate.tasks += 1;
                 next = index + 1;
                 budget -= 1;
                 if pass.one_each {
--- a/src/scheduler/stories/orders.rs
+++ b/src/scheduler/stories/orders.rs
@@ -354,3 +354,35 @@
         [Write::Forget { .. }]
     ));
 }
+
+// Guards against a machine whose report is longer than a body may be.
+#[test]
+fn a_machine_holds_no_more_tasks_than_a_report_can_name() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", true);
+    let tiny = JobSpec {
+        cores: 0.01,
+        cards: 0.0,
+        ram_gb: 0.01,
+        ..spec("j-1", 1_500)
+    };
+    t.submit(tiny);
+    for _ in 0..4 {
+        t.wait(1);
+        t.beat("m-1");
+    }
+    assert_eq!(t.workers["m-1"].running(), MOST_TASKS);
+    let rent = t.s.plan_fleet(t.now, 0).rent;
+    let count: usize = rent.iter().map(|w| w.count).sum();
+    assert_eq!(count, 3, "for 1,100 more");
+    t.workers.get_mut("m-1").unwrap().exit_all(ExitCause::Done);
+    let report = t.workers.get_mut("m-1").unwrap().report("m-1");
+    t.deliver(&report);
+    let body = serde_json::to_string(&report).expect("JSON");
+    assert!(body.len() < 64 * 1024 / 2, "{}", body.len());
+    let held = t.s.machines[&MachineId("m-1".into())].reported_tasks();
+    assert!(
+        held <= MOST_TASKS,
+        "what is not cleared is reported: {held}"
+    );
+}
--- a/src/scheduler/stories/turns.rs
+++ b/src/scheduler/stories/turns.rs
@@ -407,3 +407,67 @@
     // Even what is long overdue stays before what is due later than three times its time.
     assert_eq!(order(&mut t, 200), [late, fair, ample]);
 }
+
+fn spare_time(id: &str, tasks: u32) -> JobSpec {
+    JobSpec {
+        cores: 4.0,
+        cards: 0.0,
+        ram_gb: 20.0,
+        expect_s: 300.0,
+        ..spec(id, tasks)
+    }
+}
+
+// Guards against spare-time work in thousands of tasks that goes before all that has a deadline, because it came first.
+#[test]
+fn what_has_no_deadline_goes_behind_what_has_one() {
+    let mut t = Story::new(0.0);
+    for i in 0..4 {
+        t.worker(&format!("m-{i}"), "a", true);
+    }
+    t.submit(spare_time("j-1", 100));
+    let dated = JobSpec {
+        due_s: Some(200.0),
+        ..spec("j-2", 8)
+    };
+    t.submit(dated);
+    t.beat_all();
+    let on = |t: &Story, job: &str| {
+        let tasks = t.workers.values().flat_map(|w| w.tasks.keys());
+        tasks.filter(|(take, _)| take.starts_with(job)).count()
+    };
+    assert_eq!(on(&t, "j-2/"), 8);
+    assert_eq!(on(&t, "j-1/"), 4, "and it takes what is left beside");
+}
+
+// Guards against processors used up beside free accelerators, which are paid for and of no use then.
+#[test]
+fn work_without_accelerators_leaves_what_the_free_ones_need() {
+    let mut t = Story::new(0.0);
+    for i in 0..3 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    t.submit(live("j-1"));
+    t.beat_all();
+    t.submit(spare_time("j-2", 100));
+    t.wait(1);
+    t.beat_all();
+    assert_eq!(
+        t.workers["m-0"].running(),
+        2,
+        "one beside 6 processors in use and 6 kept"
+    );
+    assert_eq!(
+        t.workers["m-1"].running(),
+        4,
+        "nothing is kept where no accelerator is used"
+    );
+    t.submit(live("j-3"));
+    t.wait(1);
+    t.beat_all();
+    assert_eq!(
+        t.workers["m-0"].running(),
+        3,
+        "so the next has its place at once"
+    );
+}
