A job at fault is tried again while its other tasks run

Cause, read from the code: of a job taken to be at fault nothing was tried while any of its tasks was live, so that a good array that met three faulty machines waited for the longest of its others. Change: one task at each try, and the pause after it, whether it failed yet or not. A story shows it.

--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -27,6 +27,8 @@
 /// Guards against a report that is longer than a body may be: some 140 bytes a task at the most. A machine of which such a
 /// report was refused would lose its lease with everything on it.
 pub(super) const MOST_TASKS: usize = 400;
+/// Longest pause for a job that keeps failing.
+const MOST_BACKOFF: Micros = Micros::secs(30);
 /// Largest amount that a submission may name.
 const MAX_AMOUNT: f64 = 1e9;
 
@@ -665,18 +667,23 @@
         }
     }
 
-    /// Tasks that wait and may be offered now: of a job at fault one at a time, until one succeeds.
+    /// Tasks that wait and may be offered now: of a job at fault one, and then none for a while.
     ///
     /// Guards against a large job submitted with a mistake: all of its tasks would be started, and rented for, again and
     /// again, only to fail.
     pub fn open(&self) -> u32 {
         if self.at_fault {
-            self.waiting().min(1_u32.saturating_sub(self.live))
+            self.waiting().min(1)
         } else {
             self.waiting()
         }
     }
 
+    /// How long it pauses after its latest failure.
+    pub fn pause(&self) -> Micros {
+        Micros::secs(1 << self.failures.min(5)).min(MOST_BACKOFF)
+    }
+
     /// Whether its tasks may go to such a machine. What lost its work on a spot machine once does not try its luck again:
     /// a job without checkpoints could lose it over and over and never be in time.
     pub fn allows(&self, rig: &str, zone: &str, spot: bool) -> bool {
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -160,7 +160,12 @@
         if let Some(job) = self.jobs.get_mut(id)
             && job.waiting() > 0
         {
-            job.next_try = now + self.knobs.retry + Micros(jitter);
+            let pause = if job.at_fault {
+                job.pause()
+            } else {
+                self.knobs.retry
+            };
+            job.next_try = now + pause + Micros(jitter);
         }
     }
 
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -6,8 +6,6 @@
 const JOB_AT_FAULT: usize = 3;
 /// A machine that failed tasks of so many jobs, with none succeeding since, is itself at fault.
 const MACHINE_AT_FAULT: usize = 2;
-/// Longest pause for a job that keeps failing.
-const MOST_BACKOFF: Micros = Micros::secs(30);
 /// Pause after a worker refused a start.
 const REFUSED_BACKOFF: Micros = Micros::secs(1);
 /// Most orders in one answer, so that its line stays below the protocol's limit.
@@ -255,7 +253,7 @@
         job.failed_on.insert(machine.clone());
         job.failures += 1;
         if job.at_fault || job.failed_on.len() >= JOB_AT_FAULT {
-            let pause = Micros::secs(1 << job.failures.min(5)).min(MOST_BACKOFF);
+            let pause = job.pause();
             job.next_try = now + pause;
             // A service shows no success, so that its failures are judged anew.
             let lasts = job.spec.shape != Shape::Service;
--- a/src/scheduler/stories/faults.rs
+++ b/src/scheduler/stories/faults.rs
@@ -120,6 +120,33 @@
     assert!(rent.iter().map(|w| w.count).sum::<usize>() <= 1, "{rent:?}");
 }
 
+// Guards against a good job whose tasks wait for all the others to end, because some met faulty machines.
+#[test]
+fn what_failed_on_faulty_machines_is_tried_again_while_the_others_run() {
+    let mut t = Story::new(0.0);
+    for i in 1..=10 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    t.submit(spec("j-1", 14));
+    t.round();
+    t.beat_all();
+    for name in ["m-1", "m-2", "m-3"] {
+        let w = t.workers.get_mut(name).expect("a worker");
+        w.exit_all(ExitCause::Error);
+    }
+    t.beat_all();
+    let before = t.running();
+    assert!(before < 14);
+    for _ in 0..35 {
+        t.wait(1);
+        t.beat_all();
+    }
+    assert!(
+        (before + 1..=before + 3).contains(&t.running()),
+        "one, and another after a while"
+    );
+}
+
 // Guards against a good job that met only faulty machines first being taken for broken for good, and them for good.
 #[test]
 fn a_job_that_succeeds_elsewhere_speaks_against_the_machines_where_it_failed() {
