A new leader waits a lease for machines that may be with a silent controller

The next leader, 20.6 s into its term, gave up 157 live machines that it had never heard: it did not know that they reported to the silent ones, which had not handed all of them on yet. Change: while a controller is silent, what this leader never heard is waited for until its lease is over.

--- a/src/scheduler/silence.rs
+++ b/src/scheduler/silence.rs
@@ -306,13 +306,19 @@
             .touch
             .steady_since
             .is_some_and(|t| now.since(t) > two_moves);
+        let lease = self.knobs.lease + step;
+        // Guards against what gave up 157 live machines: a new leader does not know through whom it would hear those that
+        // it never heard, and a controller that lost all but its workers needs most of their lease to hand them on.
+        let way_unknown = |m: &Machine| m.newest.is_none() && !self.touch.silent_nodes.is_empty();
         // A worker whose controller is out of reach needs a while to find another one; where the way to
         // its zone, or to two controllers, is broken it may have to try two in vain.
         let patience = |m: &Machine| {
             let far = self.touch.two_silent_at.is_some()
                 || self.touch.doubtful_zones.contains_key(&m.zone)
                 || self.touch.silent_nodes.contains_key(&m.via);
-            if self.is_way_stopped(m) || (far && !steady) {
+            if way_unknown(m) {
+                lease.max(two_moves)
+            } else if self.is_way_stopped(m) || (far && !steady) {
                 two_moves + TOLD_WITHIN
             } else if steady {
                 step + NOTICED_WITHIN
@@ -320,7 +326,6 @@
                 step + WORKER_MOVES_ON + TOLD_WITHIN
             }
         };
-        let lease = self.knobs.lease + step;
         // Once a cut is over, workers need as long as ever to be heard.
         let quiet = |m: &Machine| now.since(m.heard_at.max(m.excused_at));
         let is_late = |m: &Machine| quiet(m) > patience(m);
--- a/src/scheduler/stories/silence.rs
+++ b/src/scheduler/stories/silence.rs
@@ -520,3 +520,31 @@
         "they find another controller within ten seconds"
     );
 }
+
+// Guards against live machines given up by a new leader, which does not know yet that their controller is cut off.
+#[test]
+fn what_a_new_leader_never_heard_may_be_with_a_controller_that_is_silent() {
+    let mut t = Story::new(0.0);
+    for i in 0..10 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    t.submit(spec("j-1", 20));
+    t.round();
+    t.beat_all();
+    t.take_over(TOKEN + 1);
+    let controllers = [controller("n-0", "a", false), controller("n-1", "a", true)];
+    let mut given_up = None;
+    for second in 1..60 {
+        t.wait(1);
+        t.s.set_controllers(&controllers, t.now);
+        // Two of them hear only the silent controller.
+        if second % 3 == 0 {
+            t.beat_some(2..10);
+        }
+        if !t.s.plan_fleet(t.now, 0).give_back.is_empty() {
+            given_up.get_or_insert(second);
+        }
+    }
+    let lease = knobs().lease.0 / 1_000_000;
+    assert!(given_up.is_some_and(|s| s > lease), "{given_up:?}");
+}
