Jobs of up to 64 tasks end in three changes, and critical chunks are written first

Change: the last finishes, the end and the removal of what is left are one transaction of three changes; the chunks of the highest priority go first; jobs that are over do not count for the admission cap. A guest that uses all changes of the small deployment still costs batch jobs their time there; that is what is in the way, not repaired by this.

--- a/src/leader.rs
+++ b/src/leader.rs
@@ -262,7 +262,7 @@
     let mut scheduler = leading.scheduler.borrow_mut();
     scheduler.batch_applied(batch, revision);
     for write in batch {
-        if let Write::Done { job, tasks } = write {
+        if let Write::Done { job, tasks } | Write::Whole { job, tasks, .. } = write {
             info!("event=job_done job={job} tasks={tasks}");
         }
     }
@@ -299,6 +299,20 @@
                 when.insert(end_key(job), 0);
                 changes.push(put(end_key(job), json!(done_record(*tasks, at))));
             }
+            Write::Whole {
+                job,
+                tasks,
+                version,
+            } => {
+                when.insert(end_key(job), 0);
+                changes.push(put(end_key(job), json!(done_record(*tasks, at))));
+                let key = chunk_key(job, 0);
+                when.insert(key.clone(), *version);
+                if *version > 0 {
+                    changes.push(Change::Delete { key });
+                }
+                changes.push(Change::Delete { key: job_key(job) });
+            }
             Write::Images {
                 machine,
                 images: Some(images),
@@ -381,7 +395,9 @@
         Write::Chunk {
             job, chunk, record, ..
         } => (chunk_key(job, *chunk), Some(json!(record))),
-        Write::Done { job, tasks } => (end_key(job), Some(json!(done_record(*tasks, at)))),
+        Write::Done { job, tasks } | Write::Whole { job, tasks, .. } => {
+            (end_key(job), Some(json!(done_record(*tasks, at))))
+        }
         Write::Images { machine, images } => {
             (images_key(machine), images.as_ref().map(|i| json!(i)))
         }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -20,6 +20,7 @@
 pub use model::*;
 
 use crate::units::{Micros, Room};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::rc::Rc;
 
@@ -86,6 +87,15 @@
         /// Its number of tasks.
         tasks: u32,
     },
+    /// The end of a job of one chunk with its last finishes, which leaves nothing else of it.
+    Whole {
+        /// The job.
+        job: JobId,
+        /// Its number of tasks.
+        tasks: u32,
+        /// The version of its chunk, which goes.
+        version: u64,
+    },
     /// The images that a machine has, for the next leader; none: the machine is gone.
     Images {
         /// The machine.
@@ -109,6 +119,7 @@
     pub fn ops(&self) -> usize {
         match self {
             Write::Chunk { .. } | Write::Done { .. } | Write::Images { .. } => 1,
+            Write::Whole { version, .. } => 2 + usize::from(*version > 0),
             Write::Forget { chunks, whole, .. } => chunks.len() + usize::from(*whole),
         }
     }
@@ -116,9 +127,10 @@
     /// The job it concerns, if any.
     pub fn job(&self) -> Option<&JobId> {
         match self {
-            Write::Chunk { job, .. } | Write::Done { job, .. } | Write::Forget { job, .. } => {
-                Some(job)
-            }
+            Write::Chunk { job, .. }
+            | Write::Done { job, .. }
+            | Write::Whole { job, .. }
+            | Write::Forget { job, .. } => Some(job),
             Write::Images { .. } => None,
         }
     }
@@ -135,6 +147,8 @@
     pub answers: bool,
 }
 
+/// Most changes of one write, those that remove records aside.
+const MOST_OPS: usize = 3;
 /// Machines whose images go into one batch.
 const IMAGES_PER_BATCH: usize = 4;
 /// Names of machines that are gone, of which late reports and lists may still speak.
@@ -157,7 +171,8 @@
     guaranteed: HashSet<JobId>,
     /// What work without accelerators leaves for each free one, by its priority, as of the last round.
     beside_a_card: BTreeMap<Priority, Room>,
-    dirty: BTreeSet<(JobId, u32)>,
+    /// Chunks to be written, those of the highest priority first.
+    dirty: BTreeSet<(Reverse<Priority>, JobId, u32)>,
     finished: BTreeSet<JobId>,
     over: BTreeSet<JobId>,
     /// Machines whose images are to be written down.
@@ -346,8 +361,6 @@
         let Some(placement) = chunk.live.remove(&((index % CHUNK) as u8)) else {
             return;
         };
-        chunk.dirty = true;
-        self.dirty.insert((id.clone(), index / CHUNK));
         let need = job.spec.need();
         job.live -= 1;
         if let Some(used) = self.team_used.get_mut(&job.spec.team) {
@@ -363,6 +376,7 @@
                 index,
             });
         }
+        self.note_change(id, index / CHUNK);
         if placement.stopping == Some(StopReason::Preempted) {
             self.wake_claimants(&placement.machine);
         }
@@ -389,13 +403,27 @@
         }
         let chunk = job.chunks.entry(index / CHUNK).or_default();
         chunk.finished |= 1 << (index % CHUNK);
-        chunk.dirty = true;
-        self.dirty.insert((id.clone(), index / CHUNK));
         job.done += 1;
         job.failures = 0;
         if job.done == job.spec.tasks && !job.ending {
             self.finished.insert(id.clone());
         }
+        self.note_change(id, index / CHUNK);
+    }
+
+    /// Something changed in a chunk.
+    ///
+    /// Guards against the chunks of a job of tens of thousands of tasks going before a critical task's, because its name
+    /// comes first.
+    fn note_change(&mut self, id: &JobId, number: u32) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if let Some(chunk) = job.chunks.get_mut(&number) {
+            chunk.dirty = true;
+            let place = (Reverse(job.spec.priority), id.clone(), number);
+            self.dirty.insert(place);
+        }
     }
 
     fn check_over(&mut self, id: &JobId) {
@@ -416,10 +444,15 @@
         let mut batch = Vec::new();
         let mut left = ops;
         let mut size = 0;
-        while left > 0 && size < bytes {
-            let Some((id, number)) = self.dirty.pop_first() else {
+        while left >= MOST_OPS && size < bytes {
+            let Some((_, id, number)) = self.dirty.pop_first() else {
                 break;
             };
+            if let Some(whole) = self.whole_end(&id) {
+                left -= whole.ops();
+                batch.push(whole);
+                continue;
+            }
             let Some(chunk) = self
                 .jobs
                 .get_mut(&id)
@@ -453,6 +486,24 @@
         batch
     }
 
+    /// The end of a job of one chunk whose tasks are all finished, with nothing left of it: three changes in place of five,
+    /// as users may submit jobs of one task by the thousand.
+    fn whole_end(&mut self, id: &JobId) -> Option<Write> {
+        let job = self.jobs.get_mut(id)?;
+        let finished = job.done == job.spec.tasks && job.live == 0;
+        if !finished || job.ending || job.spec.tasks > CHUNK {
+            return None;
+        }
+        let chunk = job.chunks.get_mut(&0).filter(|c| c.dirty)?;
+        chunk.dirty = false;
+        job.ending = true;
+        Some(Write::Whole {
+            job: id.clone(),
+            tasks: job.spec.tasks,
+            version: chunk.version,
+        })
+    }
+
     /// Images seen on machines, a few at a time as they matter least.
     fn add_images(&mut self, batch: &mut Vec<Write>, left: &mut usize) {
         for _ in 0..IMAGES_PER_BATCH.min(*left) {
@@ -534,6 +585,10 @@
                 Write::Done { job, .. } => {
                     self.finished.remove(job);
                 }
+                Write::Whole { job, .. } => {
+                    self.finished.remove(job);
+                    self.forget_applied(job, &[], true);
+                }
                 Write::Images { .. } => {}
                 Write::Forget { job, chunks, whole } => self.forget_applied(job, chunks, *whole),
             }
@@ -569,7 +624,7 @@
         if whole {
             self.jobs.remove(id);
             self.over.remove(id);
-            self.dirty.retain(|(job, _)| job != id);
+            self.dirty.retain(|(_, job, _)| job != id);
         }
     }
 
@@ -578,10 +633,13 @@
         for write in batch {
             match write {
                 Write::Chunk { job, chunk, .. } => {
-                    if let Some(c) = self.jobs.get_mut(job).and_then(|j| j.chunks.get_mut(chunk)) {
-                        c.dirty = true;
-                        self.dirty.insert((job.clone(), *chunk));
+                    self.note_change(job, *chunk);
+                }
+                Write::Whole { job, .. } => {
+                    if let Some(j) = self.jobs.get_mut(job) {
+                        j.ending = j.end.is_some();
                     }
+                    self.note_change(job, 0);
                 }
                 Write::Done { job, .. } => {
                     if let Some(j) = self.jobs.get_mut(job) {
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -373,7 +373,6 @@
         let attempt = job.next_attempt(index / CHUNK);
         let chunk = job.chunks.entry(index / CHUNK).or_default();
         chunk.last_attempt = attempt;
-        chunk.dirty = true;
         let claim = job.claims.iter().position(|(m, _)| m == machine);
         if let Some(i) = claim.or(job.claims.len().checked_sub(1)) {
             job.claims.swap_remove(i);
@@ -395,7 +394,7 @@
             "event=placed task={id}/{index} machine={machine} attempt={}",
             chunk.last_attempt
         ));
-        self.dirty.insert((id.clone(), index / CHUNK));
+        self.note_change(id, index / CHUNK);
         self.hold(id, index, machine, now);
         self.note_image(machine, &spec);
     }
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -382,7 +382,6 @@
         };
         let chunk = job.chunks.entry(task.index / CHUNK).or_default();
         chunk.last_attempt = chunk.last_attempt.max(t.attempt);
-        chunk.dirty = true;
         chunk.live.insert(
             (task.index % CHUNK) as u8,
             Placement {
@@ -396,7 +395,7 @@
                 stopping: None,
             },
         );
-        self.dirty.insert((task.job.clone(), task.index / CHUNK));
+        self.note_change(&task.job, task.index / CHUNK);
         self.hold(&task.job, task.index, &r.machine, now);
         self.notes.push(format!(
             "event=task_adopted task={task} machine={}",
--- a/src/scheduler/stories/mod.rs
+++ b/src/scheduler/stories/mod.rs
@@ -261,6 +261,13 @@
                     Write::Done { job, .. } => {
                         self.done.insert(job.clone());
                     }
+                    Write::Whole { job, version, .. } => {
+                        let chunk = self.chunks.remove(&(job.clone(), 0));
+                        let before = chunk.map_or(0, |(_, v)| v);
+                        assert_eq!(before, *version, "a write must replace what was read");
+                        self.records.remove(job);
+                        self.done.insert(job.clone());
+                    }
                     Write::Images { machine, images } => {
                         match images {
                             Some(i) => self.images.insert(machine.clone(), i.clone()),
--- a/src/scheduler/stories/orders.rs
+++ b/src/scheduler/stories/orders.rs
@@ -386,3 +386,51 @@
         "what is not cleared is reported: {held}"
     );
 }
+
+// Guards against a swarm of tiny jobs using up the changes that everything else needs.
+#[test]
+fn a_job_of_one_task_costs_few_changes_and_ends_in_one_step() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", true);
+    let job = t.submit(spec("j-1", 1));
+    t.beat("m-1");
+    t.workers.get_mut("m-1").unwrap().exit_all(ExitCause::Done);
+    let report = t.workers.get_mut("m-1").unwrap().report("m-1");
+    t.s.on_report(&report, "n-1", t.now);
+    let batch = t.s.next_batch(20, 36_000, true);
+    assert!(matches!(&batch[..], [Write::Whole { .. }]), "{batch:?}");
+    assert_eq!(batch[0].ops(), 3);
+    // Before it is written its worker keeps the result; where its user cancelled it first, that is how it ended.
+    let at = (report.session, report.seq);
+    assert_eq!(t.s.orders_for(&report.machine, at, t.now), vec![]);
+    t.s.batch_dropped(&batch);
+    t.s.job_is_over(&job);
+    t.s.end_job(&job, aborted(1));
+    assert!(
+        !t.s.next_batch(20, 36_000, false)
+            .iter()
+            .any(|w| matches!(w, Write::Whole { .. } | Write::Done { .. }))
+    );
+    let clear = t.s.orders_for(&report.machine, at, t.now);
+    assert!(matches!(&clear[..], [Order::Clear { .. }]));
+}
+
+// Guards against a critical task's placement that waits behind a guest's tens of thousands.
+#[test]
+fn what_is_critical_is_written_first() {
+    let mut t = Story::new(0.0);
+    for i in 1..=30 {
+        t.worker(&format!("m-{i:02}"), "a", false);
+    }
+    let tiny = JobSpec {
+        cores: 0.25,
+        cards: 0.0,
+        ram_gb: 0.5,
+        ..spec("j-1", 2_000)
+    };
+    t.submit(tiny);
+    t.submit(live("j-2"));
+    t.s.round(t.now);
+    let batch = t.s.next_batch(4, 36_000, true);
+    assert_eq!(batch[0].job(), Some(&JobId("j-2".into())));
+}
--- a/src/store.rs
+++ b/src/store.rs
@@ -279,6 +279,12 @@
         self.jobs.contains_key(id) || self.ends.contains_key(id)
     }
 
+    /// Jobs that are not over; the records of others may wait for their removal.
+    pub fn active_jobs(&self) -> usize {
+        let jobs = self.jobs.keys();
+        jobs.filter(|id| !self.ends.contains_key(*id)).count()
+    }
+
     /// A job's state.
     pub fn status(&self, id: &JobId) -> Option<Status> {
         if let Some(end) = self.ends.get(id) {
--- a/src/users.rs
+++ b/src/users.rs
@@ -64,7 +64,7 @@
         if let Err(reason) = admissible(&spec, &flavors.value, &node.teams) {
             return Reply::error(422, reason);
         }
-        if view.jobs.len() >= node.admission_cap {
+        if view.jobs.len() >= node.admission_cap && view.active_jobs() >= node.admission_cap {
             return Reply::later(429, "too many jobs", WHEN_FULL);
         }
     }
