A gang is never tried one task at a time; a broken job that waits does not end folding

Cause, found on rereading: a gang that failed on three machines counted as at fault, was offered one task at a time, and as gangs start whole or not at all it would never have started again. And the waiting tasks of a broken job, which may wait for as long as the job is not cancelled, kept services from being moved together. Change: only arrays are tried one task at a time; what waits of a job at fault does not count for folding.

--- a/src/scheduler/fold.rs
+++ b/src/scheduler/fold.rs
@@ -49,7 +49,7 @@
     /// Picks machines to fold, or lets go of them when their room is needed after all.
     pub(super) fn plan_fold(&mut self, reserve: Option<&(Rc<JobSpec>, usize)>, now: Micros) {
         // A task that is being moved waits as well; it must not end the folding that it comes from.
-        let waits = |j: &Job| j.waiting() > 0 && j.moving_until <= now;
+        let waits = |j: &Job| j.waiting() > 0 && j.moving_until <= now && !j.at_fault;
         let waiting = self.jobs.values().any(waits);
         let services = self
             .jobs
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -255,8 +255,8 @@
         if job.at_fault || job.failed_on.len() >= JOB_AT_FAULT {
             let pause = job.pause();
             job.next_try = now + pause;
-            // A service shows no success, so that its failures are judged anew.
-            let lasts = job.spec.shape != Shape::Service;
+            // A service shows no success, and a gang can't be tried one task at a time: their failures are judged anew.
+            let lasts = job.spec.shape == Shape::Array;
             if job.at_fault {
                 return;
             }
--- a/src/scheduler/stories/faults.rs
+++ b/src/scheduler/stories/faults.rs
@@ -164,3 +164,27 @@
         assert_eq!(m.life == Life::Up, !sick.contains(&id.0.as_str()), "{id}");
     }
 }
+
+// Guards against a gang that is taken to be at fault and offered one task at a time, so that it never starts again.
+#[test]
+fn a_gang_that_failed_everywhere_starts_whole_again_after_its_pause() {
+    let mut t = Story::new(0.0);
+    for i in 1..=8 {
+        t.worker(&format!("m-{i}"), "a", false);
+    }
+    t.submit(JobSpec {
+        shape: Shape::Gang,
+        cards: 2.0,
+        ..spec("j-1", 4)
+    });
+    for _ in 0..3 {
+        t.round();
+        t.beat_all();
+        assert_eq!(t.running(), 4);
+        for w in t.workers.values_mut() {
+            w.exit_all(ExitCause::Error);
+        }
+        t.beat_all();
+        t.wait(60);
+    }
+}
