--- a/src/leader.rs
+++ b/src/leader.rs
@@ -231,7 +231,9 @@
     let (when, changes) = transaction(leading, batch, at);
     let mut unsure = false;
     loop {
-        match node.state.txn(Urgency::Now, &when, &changes).await {
+        let (outcome, again) = node.state.txn_twice(&when, &changes).await;
+        unsure |= again;
+        match outcome {
             Ok(Outcome::Applied(revision)) => {
                 node.store.note_answer();
                 applied(leading, batch, revision);
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,7 @@
 use crate::http::{Client, HttpError};
 use crate::units::Micros;
 use async_io::Timer;
+use futures_lite::FutureExt;
 use http_types::Method;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -13,6 +14,8 @@
 
 /// How long a request may take before its outcome counts as unknown.
 const CALL_WITHIN: Micros = Micros::millis(1_500);
+/// A transaction without an answer is sent again after this; answers normally take a few milliseconds.
+const AGAIN_AFTER: Micros = Micros::millis(400);
 /// How long a watch may take beyond the time it asked for.
 const WATCH_MARGIN: Micros = Micros::secs(2);
 
@@ -275,6 +278,25 @@
         }
     }
 
+    /// The same, sent a second time where the first stays without an answer for a while; says whether it was.
+    ///
+    /// Guards against a lost answer that holds up a user, or a round, for as long as a request may take. Of two copies
+    /// that both arrive the later one fails, if the conditions name a key that the first changed.
+    pub async fn txn_twice(
+        &self,
+        when: &[Condition],
+        writes: &[Change],
+    ) -> (Result<Outcome, StateError>, bool) {
+        let again = Cell::new(false);
+        let first = Box::pin(self.txn(Urgency::Now, when, writes));
+        let second = Box::pin(async {
+            Timer::after(AGAIN_AFTER.into()).await;
+            again.set(true);
+            self.txn(Urgency::Now, when, writes).await
+        });
+        (first.or(second).await, again.get())
+    }
+
     /// One key, or the current revision where it does not exist.
     pub async fn get(&self, urgency: Urgency, key: &str) -> Result<Result<Item, u64>, StateError> {
         self.pace(urgency, 0).await;
--- a/src/users.rs
+++ b/src/users.rs
@@ -3,7 +3,7 @@
 use crate::controller::Node;
 use crate::http::{Call, Reply};
 use crate::scheduler::{End, Final, Flavor, JobId, JobRecord, JobSpec, Shape, TeamShare};
-use crate::state::{Change, Condition, Outcome, StateError, Urgency};
+use crate::state::{Change, Condition, Outcome, StateError};
 use crate::store::{end_key, job_key};
 use crate::units::{Micros, Room};
 use async_io::Timer;
@@ -196,7 +196,7 @@
 async fn commit(node: &Node, when: &[Condition], writes: &[Change]) -> Option<Outcome> {
     let until = node.clock.now() + TRY_FOR;
     loop {
-        match node.state.txn(Urgency::Now, when, writes).await {
+        match node.state.txn_twice(when, writes).await.0 {
             Ok(outcome) => {
                 node.store.note_answer();
                 return Some(outcome);
