A cancellation is told to a user only once every controller knows it, or its machines go back

Cause (gap: the state service refuses the leader, others confirm cancellations, then it is out for all for longer than cancel_s): a leader that the state service refuses learned of a cancellation only by the next ping of the controller that had committed it, and nobody told it again: not if that controller ended first, not if the leader was restarted in between, not if the answer was given by one that only read the end (a repeated request, a poll). A leader that no other controller reaches kept its workers' leases, and nobody returned their machines.

Now whoever says "aborted" first tells all other controllers which job, when and on which machines; each tells it on, and anew to a restarted one. Where one does not answer, the cloud must (else 503 with Retry-After), as then every controller that knows returns the machines on which tasks may be left after 7/10 of cancel_s, unless somebody leads who does so. Two reports without the task clear a machine.

To bring this about in tests: time and connections go through one small seam each (clock.rs, net.rs), and tests/support has a world of whole controllers, state service, cloud, workers and users, in memory and virtual time, whose ledger checks the protocol's rules at every step.

Guard taken out: nothing told: all four gap stories fail (ran_cancelled); as before, pings alone: all four fail; told, but nobody returns machines: the two with an unreachable leader fail.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1,23 +1,24 @@
 //! One controller: its parts, its connections and its long-lived duties.
 
+use crate::cancellations::{self, Cancellation, Cancellations};
+use crate::clock::{Clock, sleep};
 use crate::cloud::Cloud;
 use crate::config::{Member, Platform, Settings};
 use crate::election;
 use crate::http::{self, Call, Reply};
 use crate::leader::{self, Leading};
+use crate::net::{Listener, Stream};
 use crate::peer::{self, Frame, Knowledge, Peer, Request};
-use crate::scheduler::{Controller, End, Final, JobId, MachineId, TeamShare};
+use crate::scheduler::{Controller, End, Final, JobId, MachineId, Report, TeamShare};
 use crate::state::{Change, State, Urgency};
-use crate::store::{Clock, Store, heard_key};
+use crate::store::{Store, heard_key};
 use crate::units::Micros;
 use crate::{users, workers};
 use async_executor::LocalExecutor;
-use async_io::Timer;
-use async_net::{TcpListener, TcpStream};
 use event_listener::Event;
 use log::{debug, info, warn};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
 use std::rc::Rc;
@@ -30,9 +31,6 @@
 const PING_EVERY: Micros = Micros::secs(1);
 /// How long they may take.
 const PING_WITHIN: Micros = Micros::millis(900);
-/// How long the other controllers are told of a cancellation, and of how many at the most.
-const TELL_CANCELLED_FOR: Micros = Micros::secs(30);
-const MOST_CANCELLED_TOLD: usize = 1_000;
 /// How long what another controller said of the state service counts.
 const WORD_LASTS: Micros = Micros::secs(4);
 
@@ -95,10 +93,10 @@
     handed: RefCell<BTreeMap<MachineId, Handed>>,
     seen_here: RefCell<BTreeMap<MachineId, Micros>>,
     heard_new: Event,
-    /// Cancellations committed here, by when.
-    cancelled_here: RefCell<VecDeque<(Micros, JobId)>>,
-    /// Cancelled jobs that the view need not show yet.
-    cancelled: RefCell<HashSet<JobId>>,
+    /// Cancellations, also those that the view need not show yet.
+    pub cancellations: RefCell<Cancellations>,
+    /// When the cloud last answered a question for a cancellation.
+    pub cloud_answered: Cell<Micros>,
     connections: Cell<usize>,
     /// When it last looked whether it stood still.
     pulse: Cell<Micros>,
@@ -107,7 +105,7 @@
 impl Node {
     /// A controller that has not begun.
     pub fn new(platform: Platform, settings: Settings) -> Node {
-        let clock = Clock::default();
+        let clock = Clock;
         let limits = &platform.facts.state;
         let size = platform.facts.size as f64;
         let state = Rc::new(State::new(
@@ -139,8 +137,8 @@
             handed: RefCell::default(),
             seen_here: RefCell::default(),
             heard_new: Event::new(),
-            cancelled_here: RefCell::default(),
-            cancelled: RefCell::default(),
+            cancellations: RefCell::default(),
+            cloud_answered: Cell::new(Micros::ZERO),
             connections: Cell::new(0),
             pulse: Cell::new(clock.now()),
             platform,
@@ -172,6 +170,8 @@
             leader: None,
             state_reachable: self.store.reachable(),
             misses_one: !self.all_answer(),
+            incarnation: self.incarnation,
+            leads: self.leading.borrow().is_some(),
         };
         let mut consider = |token: u64, leader: Option<&str>| {
             if token > best.token || (token == best.token && best.leader.is_none()) {
@@ -249,56 +249,43 @@
         before.is_none_or(|at| now.since(at) > lately)
     }
 
-    /// A user's cancellation was committed here.
-    pub fn note_cancelled_here(&self, job: &JobId) {
-        let now = self.clock.now();
-        let mut here = self.cancelled_here.borrow_mut();
-        here.push_back((now, job.clone()));
-        let old = |(at, _): &(Micros, JobId)| now.since(*at) > TELL_CANCELLED_FOR;
-        while here.len() > MOST_CANCELLED_TOLD || here.front().is_some_and(old) {
-            here.pop_front();
-        }
-        drop(here);
-        self.note_cancelled(std::slice::from_ref(job));
-    }
-
-    fn cancelled_since(&self, from: Micros) -> Vec<JobId> {
-        let here = self.cancelled_here.borrow();
-        let since = here.iter().filter(|(at, _)| *at >= from);
-        since.map(|(_, job)| job.clone()).collect()
-    }
-
     /// These jobs are cancelled, whether or not the view shows it yet.
     ///
     /// Guards against tasks that outlive their cancellation because the state service stopped answering right after it
     /// was committed, so that no watch tells the leader.
-    fn note_cancelled(&self, jobs: &[JobId]) {
-        let mut cancelled = self.cancelled.borrow_mut();
-        {
-            let view = self.store.view.borrow();
-            cancelled.retain(|job| !view.ends.contains_key(job));
-            let unseen = jobs.iter().filter(|job| !view.ends.contains_key(job));
-            cancelled.extend(unseen.cloned());
-        }
-        let Some(leading) = self.leading() else {
-            return;
-        };
-        let end = End {
-            how: Final::Aborted,
-            at: self.clock.wall(),
-            done: 0,
-        };
-        for job in jobs {
-            leading.scheduler.borrow_mut().end_job(job, end);
+    pub fn note_cancelled(&self, cancelled: &[Cancellation]) {
+        for c in cancelled {
+            self.cancellations.borrow_mut().note(c);
+            if let Some(leading) = self.leading() {
+                let end = End {
+                    how: Final::Aborted,
+                    at: c.at,
+                    done: 0,
+                };
+                leading.scheduler.borrow_mut().end_job(&c.job, end);
+            }
         }
     }
 
+    /// A report shows what is left of cancelled tasks on its machine.
+    pub fn look_for_cancelled(&self, report: &Report) {
+        let wall = self.clock.wall();
+        self.cancellations.borrow_mut().on_report(report, wall);
+    }
+
+    /// Whether a controller that leads, with or without a lease, answers: this one or another.
+    pub fn leader_answers(&self) -> bool {
+        let words = self.words.borrow();
+        let leads = |(node, word): (&String, &Word)| word.known.leads && self.answers(node);
+        self.leading().is_some() || words.iter().any(leads)
+    }
+
     /// Whether it is known here that a job's user cancelled it.
     pub fn is_cancelled(&self, job: &JobId) -> bool {
         let view = self.store.view.borrow();
         match view.ends.get(job) {
             Some(end) => end.how == Final::Aborted,
-            None => self.cancelled.borrow().contains(job),
+            None => self.cancellations.borrow().knows(job),
         }
     }
 
@@ -462,8 +449,8 @@
 where
     Rc<Node>: 'a,
 {
-    let faces = TcpListener::bind(node.platform.bind).await?;
-    let internal = TcpListener::bind(node.platform.internal_addr).await?;
+    let faces = Listener::bind(node.platform.bind).await?;
+    let internal = Listener::bind(node.platform.internal_addr).await?;
     info!(
         "event=started node={} zone={} bind={} internal={}",
         node.platform.node, node.platform.zone, node.platform.bind, node.platform.internal_addr
@@ -491,10 +478,15 @@
         Box::pin(async move {
             loop {
                 n.look_for_standstill(n.clock.now());
-                Timer::after(PULSE_EVERY.into()).await;
+                sleep(PULSE_EVERY).await;
             }
         }),
     );
+    let n = node.clone();
+    let _clear_up = duty(
+        "clear_up",
+        Box::pin(async move { cancellations::clear_up(&n).await }),
+    );
     let mut pings = Vec::new();
     for i in 0..node.peers.len() {
         let n = node.clone();
@@ -522,16 +514,16 @@
 }
 
 /// Accepts connections, each served by a routine of its own.
-async fn accept<'a, F, Fut>(ex: &LocalExecutor<'a>, listener: TcpListener, node: Rc<Node>, serve: F)
+async fn accept<'a, F, Fut>(ex: &LocalExecutor<'a>, listener: Listener, node: Rc<Node>, serve: F)
 where
-    F: Fn(TcpStream) -> Fut,
+    F: Fn(Stream) -> Fut,
     Fut: Future<Output = ()> + 'a,
     Rc<Node>: 'a,
 {
     let most = node.sockets_for_others();
     loop {
         match listener.accept().await {
-            Ok((stream, _)) if node.connections.get() < most => {
+            Ok(stream) if node.connections.get() < most => {
                 let node = node.clone();
                 node.connections.set(node.connections.get() + 1);
                 let work = serve(stream);
@@ -544,7 +536,7 @@
             Ok(_) => debug!("event=connection_refused reason=too_many"),
             Err(e) => {
                 debug!("event=accept_failed error={:?}", e.to_string());
-                Timer::after(Micros::millis(50).into()).await;
+                sleep(Micros::millis(50)).await;
             }
         }
     }
@@ -564,8 +556,10 @@
 async fn hear_peer(node: Rc<Node>, frame: Frame<Request>) -> Frame<peer::Reply> {
     node.learn(&frame.known);
     let message = match frame.message {
-        Request::Ping { cancelled } => {
+        Request::Ping { cancelled, gone } => {
             node.note_cancelled(&cancelled);
+            let wall = node.clock.wall();
+            node.cancellations.borrow_mut().note_gone(&gone, wall);
             peer::Reply::Pong
         }
         Request::Report { relay, via, report } => {
@@ -604,15 +598,25 @@
 
 /// The duty that asks another controller what it knows.
 async fn ping(node: &Node, peer: &Peer) {
-    let mut told_until = node.clock.now();
+    let mut told_until = node.clock.wall();
     loop {
-        let now = node.clock.now();
+        let wall = node.clock.wall();
+        let (cancelled, gone) = {
+            let cancellations = node.cancellations.borrow();
+            let gone = cancellations.gone_since(told_until);
+            (cancellations.untold(&peer.node), gone)
+        };
         let ping = Request::Ping {
-            cancelled: node.cancelled_since(told_until),
+            cancelled: cancelled.clone(),
+            gone,
         };
         match peer.call(node.known(), ping, PING_WITHIN).await {
             Ok(frame) => {
-                told_until = now;
+                told_until = wall;
+                let incarnation = frame.known.incarnation;
+                let mut cancellations = node.cancellations.borrow_mut();
+                cancellations.was_told(&peer.node, incarnation, &cancelled);
+                drop(cancellations);
                 node.learn(&frame.known);
                 node.note_word(&peer.node, frame.known);
                 node.avoided.borrow_mut().remove(&peer.node);
@@ -630,7 +634,7 @@
                 node.avoid(&peer.node, node.clock.now() + AVOID_FOR);
             }
         }
-        Timer::after(PING_EVERY.into()).await;
+        sleep(PING_EVERY).await;
     }
 }
 
@@ -642,7 +646,7 @@
     loop {
         node.heard_new.listen().await;
         // The first report that can't be passed on is told at once, with those that come in the next moment.
-        Timer::after(Micros::millis(200).into()).await;
+        sleep(Micros::millis(200)).await;
         let now = node.clock.now();
         let machines: Vec<MachineId> = {
             let mut heard = node.heard.borrow_mut();
@@ -665,7 +669,7 @@
                 debug!("event=heard_not_told error={:?}", e.to_string());
             }
         }
-        Timer::after(every.scaled(1, 3).into()).await;
+        sleep(every.scaled(1, 3)).await;
     }
 }
 
@@ -775,6 +779,7 @@
         let call = Call {
             method: Method::Post,
             path: "/checkin".into(),
+            query: String::new(),
             body: body.to_string().into(),
         };
         let reply = async_io::block_on(route(node.clone(), call));
@@ -786,7 +791,12 @@
         let ping = Frame {
             known: Knowledge::default(),
             message: Request::Ping {
-                cancelled: vec![JobId(job.into())],
+                cancelled: vec![Cancellation {
+                    job: JobId(job.into()),
+                    at: 1,
+                    machines: Vec::new(),
+                }],
+                gone: Vec::new(),
             },
         };
         async_io::block_on(hear_peer(node.clone(), ping));
@@ -850,6 +860,7 @@
         let call = |method, path: &str| Call {
             method,
             path: path.into(),
+            query: String::new(),
             body: Vec::new(),
         };
         let closes = |call| async_io::block_on(route(node.clone(), call)).close;
--- a/src/election.rs
+++ b/src/election.rs
@@ -1,10 +1,10 @@
 //! Who leads: the holder of the leader key, which hangs on a lease; the key's version is the token.
 
+use crate::clock::sleep;
 use crate::controller::Node;
 use crate::state::{Change, Condition, Outcome, StateError, Urgency};
 use crate::store::{LEADER, LeaderRecord, TERM};
 use crate::units::Micros;
-use async_io::Timer;
 use futures_lite::FutureExt;
 use log::{debug, info};
 use serde_json::json;
@@ -71,7 +71,7 @@
             _ => {}
         }
         let look = async {
-            Timer::after(LOOK_EVERY.into()).await;
+            sleep(LOOK_EVERY).await;
         };
         changed.or(look).await;
     }
@@ -132,7 +132,7 @@
     let ttl = node.settings.leader_lease();
     let mut outage = false;
     loop {
-        Timer::after(ttl.scaled(1, 4).into()).await;
+        sleep(ttl.scaled(1, 4)).await;
         if node.known().token > leadership.token {
             return "another controller leads";
         }
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,8 +1,8 @@
 //! The glue to `async-h1`: a pooled client for one address, and a server routine for one connection.
 
+use crate::clock::{Clock, sleep};
+use crate::net::Stream;
 use crate::units::Micros;
-use async_io::Timer;
-use async_net::TcpStream;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt, io};
 use http_types::headers::{CONNECTION, CONTENT_TYPE};
 use http_types::{Method, Request, Response, StatusCode, Url};
@@ -14,7 +14,6 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
 use thiserror::Error;
 
 /// The largest request body that the protocol allows.
@@ -47,7 +46,7 @@
 pub async fn within<T>(limit: Micros, work: impl Future<Output = T>) -> Option<T> {
     async { Some(work.await) }
         .or(async {
-            Timer::after(limit.into()).await;
+            sleep(limit).await;
             None
         })
         .await
@@ -56,7 +55,7 @@
 /// An HTTP client for one address; connections are kept and used again.
 pub struct Client {
     addr: SocketAddr,
-    idle: RefCell<Vec<TcpStream>>,
+    idle: RefCell<Vec<Stream>>,
 }
 
 impl Client {
@@ -82,11 +81,10 @@
         let work = async {
             let stream = match kept {
                 Some(stream) => stream,
-                None => TcpStream::connect(self.addr)
+                None => Stream::connect(self.addr)
                     .await
                     .map_err(|e| HttpError::NotSent(e.to_string()))?,
             };
-            let _ = stream.set_nodelay(true);
             sent.set(true);
             self.exchange(stream, method, path, body.clone()).await
         };
@@ -99,7 +97,7 @@
 
     async fn exchange(
         &self,
-        stream: TcpStream,
+        stream: Stream,
         method: Method,
         path: &str,
         body: Option<Vec<u8>>,
@@ -138,7 +136,7 @@
 /// whole of it would be kept in memory until then.
 #[derive(Clone)]
 struct Bounded {
-    stream: TcpStream,
+    stream: Stream,
     left: Arc<AtomicUsize>,
 }
 
@@ -186,6 +184,8 @@
     pub method: Method,
     /// The path.
     pub path: String,
+    /// What follows the path after a question mark, or nothing.
+    pub query: String,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -247,12 +247,11 @@
 /// Guards against: heads without an end ([`Bounded`]), bodies over the limit (refused before they are read), heads or bodies that trickle in (bounded
 /// time), readers that do not take their answer (bounded time), answers from before a standstill of this process, which
 /// by then are out of date (not sent).
-pub async fn serve<F, Fut>(stream: TcpStream, idle: impl Fn() -> Micros, handle: F)
+pub async fn serve<F, Fut>(stream: Stream, idle: impl Fn() -> Micros, handle: F)
 where
     F: Fn(Call) -> Fut,
     Fut: Future<Output = Reply>,
 {
-    let _ = stream.set_nodelay(true);
     while is_spoken_on(&stream, &idle).await {
         // On the heap, so that a connection takes this room only while it has a request: it is ten times what an idle one
         // needs, and a controller may hold the workers of a whole fleet.
@@ -263,12 +262,12 @@
 }
 
 /// Reads one request and answers it; false if the connection is over.
-async fn answer_one<F, Fut>(stream: &TcpStream, handle: &F) -> bool
+async fn answer_one<F, Fut>(stream: &Stream, handle: &F) -> bool
 where
     F: Fn(Call) -> Fut,
     Fut: Future<Output = Reply>,
 {
-    let began = Instant::now();
+    let began = Clock.now();
     let bounded = Bounded {
         stream: stream.clone(),
         left: Arc::new(AtomicUsize::new(MAX_HEAD + MAX_BODY)),
@@ -292,6 +291,7 @@
             let call = Call {
                 method,
                 path: request.url().path().to_owned(),
+                query: request.url().query().unwrap_or_default().to_owned(),
                 body,
             };
             let reply = handle(call).await;
@@ -305,15 +305,15 @@
         },
     };
     let close = reply.close;
-    let is_late = began.elapsed() > Duration::from(ANSWER_WITHIN);
+    let is_late = Clock.now().since(began) > ANSWER_WITHIN;
     !is_late && send(stream, reply, method).await && !close
 }
 
 /// Waits for a request; false if the connection ended or stood idle for too long.
-async fn is_spoken_on(stream: &TcpStream, idle: &impl Fn() -> Micros) -> bool {
+async fn is_spoken_on(stream: &Stream, idle: &impl Fn() -> Micros) -> bool {
     let mut waited = Micros::ZERO;
     while waited < idle() {
-        if let Some(first) = within(IDLE_LOOK, peek(stream)).await {
+        if let Some(first) = within(IDLE_LOOK, stream.is_spoken_on()).await {
             return first.unwrap_or(false);
         }
         waited = waited + IDLE_LOOK;
@@ -321,11 +321,6 @@
     false
 }
 
-async fn peek(stream: &TcpStream) -> io::Result<bool> {
-    let mut byte = [0u8; 1];
-    Ok(stream.peek(&mut byte).await? > 0)
-}
-
 async fn read_body(request: &mut Request) -> Result<Vec<u8>, Reply> {
     if request.len().is_some_and(|len| len > MAX_BODY) {
         return Err(Reply::error(413, "body over 64 KiB"));
@@ -340,7 +335,7 @@
     }
 }
 
-async fn send(stream: &TcpStream, reply: Reply, method: Method) -> bool {
+async fn send(stream: &Stream, reply: Reply, method: Method) -> bool {
     let mut encoder = async_h1::server::Encoder::new(reply.into_response(), method);
     let mut stream = stream.clone();
     let work = async {
@@ -355,19 +350,22 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use async_net::TcpListener;
+    use crate::net::Listener;
     use futures_lite::future;
+    use std::time::Duration;
 
     // Guards against answers from before a standstill: another controller may have told something newer meanwhile.
     #[test]
     fn an_answer_that_nobody_waits_for_any_more_is_not_sent() {
         async_io::block_on(async {
-            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let listener = Listener::bind("127.0.0.1:0".parse().unwrap())
+                .await
+                .unwrap();
             let client = Client::new(listener.local_addr().unwrap());
             let slept = std::cell::Cell::new(false);
             let server = async {
                 for _ in 0..2 {
-                    let (stream, _) = listener.accept().await.unwrap();
+                    let stream = listener.accept().await.unwrap();
                     let handle = |_: Call| async {
                         if !slept.replace(true) {
                             std::thread::sleep(Duration::from(ANSWER_WITHIN + Micros::millis(1)));
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -1,5 +1,6 @@
 //! What the leading controller does: rounds of offers and writes, and the fleet.
 
+use crate::clock::sleep;
 use crate::cloud::{CloudError, MAX_RENT, MAX_RETURN, Rental};
 use crate::controller::Node;
 use crate::election::{self, Leadership};
@@ -10,7 +11,6 @@
     FLAVORS, LEADER, RentalRecord, Seen, View, chunk_key, end_key, images_key, job_key, rental_key,
 };
 use crate::units::Micros;
-use async_io::Timer;
 use event_listener::Event;
 use futures_lite::{FutureExt, future};
 use log::{debug, info, warn};
@@ -162,10 +162,10 @@
     loop {
         let work = leading.work.listen();
         let pause = async {
-            Timer::after(ROUND_EVERY.into()).await;
+            sleep(ROUND_EVERY).await;
         };
         work.or(pause).await;
-        Timer::after(GATHER.into()).await;
+        sleep(GATHER).await;
         leading.begun.set(leading.begun.get() + 1);
         take_news(node, leading);
         let now = node.clock.now();
@@ -254,7 +254,7 @@
                 unsure = true;
             }
         }
-        Timer::after(RETRY_PAUSE.into()).await;
+        sleep(RETRY_PAUSE).await;
     }
 }
 
@@ -412,7 +412,7 @@
             Ok(Ok(item)) => return Ok((Some(item.value) == expected).then_some(item.version)),
             Ok(Err(revision)) => return Ok(expected.is_none().then_some(revision)),
             Err(StateError::Refused(_) | StateError::Unknown(_)) => {
-                Timer::after(RETRY_PAUSE.into()).await;
+                sleep(RETRY_PAUSE).await;
             }
             Err(_) => return Err("a read was found senseless"),
         }
@@ -435,7 +435,7 @@
                     let when = [leading.leader_condition()];
                     if let Err(e) = node.state.txn(Urgency::Now, &when, &[put]).await {
                         debug!("event=flavors_not_written error={:?}", e.to_string());
-                        Timer::after(Micros::millis(500).into()).await;
+                        sleep(Micros::millis(500)).await;
                         continue;
                     }
                 }
@@ -446,7 +446,7 @@
                 Micros::secs(1)
             }
         };
-        Timer::after(pause.into()).await;
+        sleep(pause).await;
     }
 }
 
@@ -470,7 +470,7 @@
             }
             Err(e) => debug!("event=list_failed error={:?}", e.to_string()),
         }
-        Timer::after(every.into()).await;
+        sleep(every).await;
     }
 }
 
@@ -478,7 +478,7 @@
 async fn fleet(node: &Node, leading: &Leading) -> &'static str {
     finish_rentals(node, leading).await;
     loop {
-        Timer::after(FLEET_EVERY.into()).await;
+        sleep(FLEET_EVERY).await;
         let now = node.clock.now();
         node.look_for_standstill(now);
         if !leading.may_order(now) {
@@ -660,7 +660,7 @@
             }
             Err(e) => {
                 info!("event=rent_failed error={:?}", e.to_string());
-                Timer::after(Micros::secs(1).into()).await;
+                sleep(Micros::secs(1)).await;
             }
         }
     }
@@ -715,7 +715,7 @@
             // The same again does no harm where a try was applied after all.
             Err(e) => debug!("event=rentals_not_noted error={:?}", e.to_string()),
         }
-        Timer::after(RETRY_PAUSE.into()).await;
+        sleep(RETRY_PAUSE).await;
     }
     if good {
         let mut rentals = leading.rentals.borrow_mut();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,12 +2,15 @@
 //!
 //! See `docs/design.md` for how it works and what guards each rule.
 
+pub mod cancellations;
+pub mod clock;
 pub mod cloud;
 pub mod config;
 pub mod controller;
 pub mod election;
 pub mod http;
 pub mod leader;
+pub mod net;
 pub mod peer;
 pub mod scheduler;
 pub mod state;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,16 +1,17 @@
 //! Controllers among themselves: `bitcode` frames over TCP, one request and one reply at a time on a connection.
 
+use crate::cancellations::Cancellation;
+use crate::clock::Clock;
 use crate::http::within;
-use crate::scheduler::{JobId, Order, Report};
+use crate::net::Stream;
+use crate::scheduler::{JobId, MachineId, Order, Report};
 use crate::units::Micros;
-use async_net::TcpStream;
 use bitcode::{Decode, Encode};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use std::cell::RefCell;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
 use thiserror::Error;
 
 /// The largest frame; a report of 64 KiB stays well below.
@@ -18,7 +19,7 @@
 /// How long an idle connection is kept open by the side that answers.
 const IDLE_WITHIN: Micros = Micros::secs(60);
 /// How long the side that asks keeps one: well below the other's, so that it does not write into one that ends.
-const KEPT_WITHIN: Duration = Duration::from_secs(20);
+const KEPT_WITHIN: Micros = Micros::secs(20);
 /// Idle connections that are kept to each controller.
 const MAX_IDLE: usize = 8;
 
@@ -33,15 +34,21 @@
     pub state_reachable: bool,
     /// Whether another controller does not answer the sender.
     pub misses_one: bool,
+    /// Drawn anew by every process.
+    pub incarnation: u64,
+    /// Whether the sender itself leads, with or without a lease.
+    pub leads: bool,
 }
 
 /// A request to another controller.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
 pub enum Request {
-    /// The knowledge, and which jobs users have cancelled at this controller of late.
+    /// The knowledge, and what there is to tell of cancelled jobs.
     Ping {
         /// Those that the other was not told of yet.
-        cancelled: Vec<JobId>,
+        cancelled: Vec<Cancellation>,
+        /// Cancelled jobs of which nothing is left on these machines.
+        gone: Vec<(JobId, MachineId)>,
     },
     /// A worker's report, to be answered by the leader.
     Report {
@@ -90,7 +97,7 @@
     TimedOut,
 }
 
-async fn read_frame<T: for<'a> Decode<'a>>(stream: &mut TcpStream) -> io::Result<Frame<T>> {
+async fn read_frame<T: for<'a> Decode<'a>>(stream: &mut Stream) -> io::Result<Frame<T>> {
     let mut length = [0u8; 4];
     stream.read_exact(&mut length).await?;
     let length = u32::from_be_bytes(length) as usize;
@@ -102,7 +109,7 @@
     bitcode::decode(&bytes).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e.to_string()))
 }
 
-async fn write_frame<T: Encode>(stream: &mut TcpStream, frame: &Frame<T>) -> io::Result<()> {
+async fn write_frame<T: Encode>(stream: &mut Stream, frame: &Frame<T>) -> io::Result<()> {
     let body = bitcode::encode(frame);
     let mut bytes = Vec::with_capacity(4 + body.len());
     bytes.extend_from_slice(&(body.len() as u32).to_be_bytes());
@@ -116,7 +123,7 @@
     pub node: String,
     addr: SocketAddr,
     /// Idle connections and since when, the longest idle first.
-    idle: RefCell<Vec<(Instant, TcpStream)>>,
+    idle: RefCell<Vec<(Micros, Stream)>>,
 }
 
 impl Peer {
@@ -146,8 +153,7 @@
             {
                 return Ok(reply);
             }
-            let fresh = TcpStream::connect(self.addr).await?;
-            let _ = fresh.set_nodelay(true);
+            let fresh = Stream::connect(self.addr).await?;
             Ok(self.exchange(fresh, &frame).await?)
         };
         let result = within(limit, work)
@@ -159,34 +165,34 @@
         result
     }
 
-    fn take_idle(&self) -> Option<TcpStream> {
+    fn take_idle(&self) -> Option<Stream> {
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|(since, _)| since.elapsed() < KEPT_WITHIN);
+        let now = Clock.now();
+        idle.retain(|(since, _)| now.since(*since) < KEPT_WITHIN);
         idle.pop().map(|(_, stream)| stream)
     }
 
     async fn exchange(
         &self,
-        mut stream: TcpStream,
+        mut stream: Stream,
         frame: &Frame<Request>,
     ) -> io::Result<Frame<Reply>> {
         write_frame(&mut stream, frame).await?;
         let reply = read_frame(&mut stream).await?;
         let mut idle = self.idle.borrow_mut();
         if idle.len() < MAX_IDLE {
-            idle.push((Instant::now(), stream));
+            idle.push((Clock.now(), stream));
         }
         Ok(reply)
     }
 }
 
 /// Serves one connection of another controller until it ends, idles too long or sends a broken frame.
-pub async fn serve<F, Fut>(mut stream: TcpStream, handle: F)
+pub async fn serve<F, Fut>(mut stream: Stream, handle: F)
 where
     F: Fn(Frame<Request>) -> Fut,
     Fut: Future<Output = Frame<Reply>>,
 {
-    let _ = stream.set_nodelay(true);
     while let Some(Ok(frame)) = within(IDLE_WITHIN, read_frame(&mut stream)).await {
         let reply = handle(frame).await;
         if !matches!(
@@ -201,7 +207,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use async_net::TcpListener;
+    use crate::net::Listener;
     use futures_lite::future;
 
     // Guards against what cost two hundred live machines on a quiet day: the other side had closed a connection that
@@ -209,11 +215,13 @@
     #[test]
     fn a_kept_connection_that_has_ended_is_no_failure() {
         async_io::block_on(async {
-            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let listener = Listener::bind("127.0.0.1:0".parse().unwrap())
+                .await
+                .unwrap();
             let peer = Peer::new("n-1".into(), listener.local_addr().unwrap());
             let server = async {
                 for _ in 0..2 {
-                    let (mut stream, _) = listener.accept().await.unwrap();
+                    let mut stream = listener.accept().await.unwrap();
                     let request: Frame<Request> = read_frame(&mut stream).await.unwrap();
                     let reply = Frame {
                         known: request.known,
@@ -228,6 +236,7 @@
                     let limit = Micros::secs(30);
                     let ping = Request::Ping {
                         cancelled: Vec::new(),
+                        gone: Vec::new(),
                     };
                     let reply = peer.call(Knowledge::default(), ping, limit).await;
                     assert_eq!(reply.expect("a reply").message, Reply::Pong);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,15 +1,14 @@
 //! The state service's client: typed answers, deadlines and a share of the common budget.
 
+use crate::clock::{Clock, sleep};
 use crate::http::{Client, HttpError};
 use crate::units::Micros;
-use async_io::Timer;
 use futures_lite::FutureExt;
 use http_types::Method;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::time::Instant;
 use thiserror::Error;
 
 /// How long a request may take before its outcome counts as unknown.
@@ -178,7 +177,7 @@
 struct Bucket {
     per_second: f64,
     level: Cell<f64>,
-    filled: Cell<Instant>,
+    filled: Cell<Micros>,
 }
 
 impl Bucket {
@@ -186,14 +185,14 @@
         Bucket {
             per_second,
             level: Cell::new(per_second),
-            filled: Cell::new(Instant::now()),
+            filled: Cell::new(Clock.now()),
         }
     }
 
     /// Takes `n`, perhaps below zero, and says how long to wait until it would not be.
     fn take(&self, n: f64) -> Micros {
-        let now = Instant::now();
-        let gained = now.duration_since(self.filled.get()).as_secs_f64() * self.per_second;
+        let now = Clock.now();
+        let gained = now.since(self.filled.get()).as_secs_f64() * self.per_second;
         self.filled.set(now);
         // Debt is bounded so that a burst of urgent requests can't starve the paced ones for long.
         let level = (self.level.get() + gained).min(self.per_second) - n;
@@ -240,7 +239,7 @@
             .take(1.0)
             .max(self.writes.borrow().take(writes as f64));
         if urgency == Urgency::Paced && wait > Micros::ZERO {
-            Timer::after(wait.into()).await;
+            sleep(wait).await;
         }
     }
 
@@ -290,7 +289,7 @@
         let again = Cell::new(false);
         let first = Box::pin(self.txn(Urgency::Now, when, writes));
         let second = Box::pin(async {
-            Timer::after(AGAIN_AFTER.into()).await;
+            sleep(AGAIN_AFTER).await;
             again.set(true);
             self.txn(Urgency::Now, when, writes).await
         });
--- a/src/store.rs
+++ b/src/store.rs
@@ -1,21 +1,20 @@
 //! The keys in the state service, a cached view of them kept by a watch, and the read barrier.
 
+use crate::clock::{Clock, sleep};
 use crate::http::within;
 use crate::scheduler::{
     CachedImage, ChunkRecord, End, Final, Flavor, JobId, JobRecord, MachineId, Pool,
 };
 use crate::state::{Event as KeyEvent, State, StateError, Urgency};
 use crate::units::Micros;
-use async_io::Timer;
 use event_listener::Event;
 use futures_lite::FutureExt;
 use log::{debug, info, warn};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
-use std::time::Instant;
 
 /// Everything this service keeps is below this prefix.
 pub const PREFIX: &str = "r/";
@@ -25,6 +24,8 @@
 pub const TERM: &str = "r/term";
 /// The machine types.
 pub const FLAVORS: &str = "r/flavors";
+/// The status of a cancelled job.
+pub const ABORTED: &str = "aborted";
 /// A key that never exists: reading it tells the current revision.
 const NOTHING: &str = "r/nothing";
 
@@ -67,36 +68,6 @@
     format!("r/images/{machine}")
 }
 
-/// A clock of whole microseconds that only goes forward.
-///
-/// It starts a day late, so that what began before this process did can be expressed.
-#[derive(Debug, Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-}
-
-impl Default for Clock {
-    fn default() -> Self {
-        Clock {
-            start: Instant::now(),
-        }
-    }
-}
-
-impl Clock {
-    /// Now, on this process's own steady clock.
-    pub fn now(&self) -> Micros {
-        Micros::secs(86_400) + Micros(self.start.elapsed().as_micros() as u64)
-    }
-
-    /// The time of day, in microseconds.
-    pub fn wall(&self) -> u64 {
-        std::time::SystemTime::now()
-            .duration_since(std::time::UNIX_EPOCH)
-            .map_or(0, |d| d.as_micros() as u64)
-    }
-}
-
 /// Who leads.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LeaderRecord {
@@ -285,12 +256,20 @@
         jobs.filter(|id| !self.ends.contains_key(*id)).count()
     }
 
+    /// The machines on which tasks of a job are placed.
+    pub fn machines_of(&self, id: &JobId) -> Vec<MachineId> {
+        let chunks = self.runs.get(id).into_iter().flat_map(|c| c.values());
+        let placed = chunks.flat_map(|c| c.value.live.iter().map(|(_, machine, _)| machine));
+        let machines: BTreeSet<&MachineId> = placed.collect();
+        machines.into_iter().cloned().collect()
+    }
+
     /// A job's state.
     pub fn status(&self, id: &JobId) -> Option<Status> {
         if let Some(end) = self.ends.get(id) {
             let status = match end.how {
                 Final::Done => "done",
-                Final::Aborted => "aborted",
+                Final::Aborted => ABORTED,
             };
             return Some(Status {
                 id: id.clone(),
@@ -398,7 +377,7 @@
         loop {
             if let Err(e) = self.load().await {
                 debug!("event=load_failed error={e:?}");
-                Timer::after(Micros::millis(300).into()).await;
+                sleep(Micros::millis(300)).await;
                 continue;
             }
             self.follow_changes().await;
@@ -450,7 +429,7 @@
                     if any {
                         let kick = self.kick.listen();
                         let pause = async {
-                            Timer::after(self.pause.into()).await;
+                            sleep(self.pause).await;
                         };
                         pause.or(kick).await;
                     }
@@ -458,7 +437,7 @@
                 Err(StateError::TooOld) => return,
                 Err(e) => {
                     debug!("event=watch_failed error={e:?}");
-                    Timer::after(Micros::millis(250).into()).await;
+                    sleep(Micros::millis(250)).await;
                 }
             }
         }
@@ -537,7 +516,7 @@
         loop {
             let wanted = self.barrier_wanted.listen();
             let idle = async {
-                Timer::after(PROBE_EVERY.into()).await;
+                sleep(PROBE_EVERY).await;
             };
             // Those who came while the last round was under way wait for this one already.
             if Rc::strong_count(&self.barrier.borrow()) == 1 {
@@ -560,7 +539,7 @@
             };
             round.done.set(Some(good));
             round.event.notify(usize::MAX);
-            Timer::after(self.pause.into()).await;
+            sleep(self.pause).await;
         }
     }
 }
--- a/src/users.rs
+++ b/src/users.rs
@@ -1,12 +1,13 @@
 //! The face for users and health checks.
 
+use crate::cancellations;
+use crate::clock::sleep;
 use crate::controller::Node;
 use crate::http::{Call, Reply};
 use crate::scheduler::{End, Final, Flavor, JobId, JobRecord, JobSpec, Shape, TeamShare};
 use crate::state::{Change, Condition, Outcome, StateError};
-use crate::store::{end_key, job_key};
+use crate::store::{ABORTED, end_key, job_key};
 use crate::units::{Micros, Room};
-use async_io::Timer;
 use http_types::Method;
 use log::{debug, info};
 use serde_json::json;
@@ -16,6 +17,8 @@
 const TRY_FOR: Micros = Micros::millis(1_500);
 /// Pause between two tries.
 const TRY_PAUSE: Micros = Micros::millis(60);
+/// How long the view may take to show a cancellation that was committed.
+const SHOWN_WITHIN: Micros = Micros::millis(1_000);
 /// When to come back after a passing trouble, in seconds.
 const SOON: u64 = 1;
 /// When to come back to a service that has as many jobs as it takes, in seconds.
@@ -119,7 +122,7 @@
 
 /// The answer to a repeated submission: the job's present state.
 async fn known(node: &Node, id: &JobId) -> Reply {
-    match current(node, id).await {
+    match told(node, id).await {
         Some(Some(status)) => Reply::json(200, &status),
         // It was known a moment ago, so this view lags; the user asks again.
         Some(None) | None => Reply::later(503, "state service did not answer", SOON),
@@ -139,11 +142,21 @@
     Some(node.store.view.borrow().status(id))
 }
 
+/// A job's state as its user may be told it: that it is cancelled only once that can be kept.
+async fn told(node: &Node, id: &JobId) -> Option<Option<crate::store::Status>> {
+    let status = current(node, id).await?;
+    let cancelled = status.as_ref().is_some_and(|s| s.status == ABORTED);
+    if cancelled && !cancellations::confirm(node, id).await {
+        return None;
+    }
+    Some(status)
+}
+
 async fn query(node: &Node, id: &str) -> Reply {
     let Some(id) = JobId::parse(id) else {
         return Reply::error(404, "no such job");
     };
-    match current(node, &id).await {
+    match told(node, &id).await {
         Some(Some(status)) => Reply::json(200, &status),
         Some(None) => Reply::error(404, "no such job"),
         None => Reply::later(503, "state service did not answer", SOON),
@@ -171,10 +184,12 @@
         // The one key that decides between done and aborted; whoever writes it first.
         let when = [absent(end_key(&id))];
         match commit(node, &when, &[put(end_key(&id), json!(end))]).await {
-            Some(Outcome::Applied(_)) => {
+            Some(Outcome::Applied(revision)) => {
                 info!("event=job_cancelled job={id}");
-                node.note_cancelled_here(&id);
-                return Reply::json(200, &json!({"nameId": id, "status": "aborted"}));
+                // The view then shows all that was ever placed of the job, as nothing is placed after its end.
+                if !node.store.caught_up(revision, SHOWN_WITHIN).await {
+                    return Reply::later(503, "state service did not answer", SOON);
+                }
             }
             Some(Outcome::Conflict(_)) => {
                 node.store.barrier().await;
@@ -184,7 +199,10 @@
     }
     match ended(node).map(|e| e.how) {
         Some(Final::Done) => Reply::json(200, &json!({"nameId": id, "status": "done"})),
-        Some(Final::Aborted) => Reply::json(200, &json!({"nameId": id, "status": "aborted"})),
+        Some(Final::Aborted) if cancellations::confirm(node, &id).await => {
+            Reply::json(200, &json!({"nameId": id, "status": ABORTED}))
+        }
+        Some(Final::Aborted) => Reply::later(503, "a controller can not be told", SOON),
         None => Reply::later(503, "state service did not answer", SOON),
     }
 }
@@ -207,7 +225,7 @@
         if node.clock.now() + TRY_PAUSE >= until || !node.store.reachable() {
             return None;
         }
-        Timer::after(TRY_PAUSE.into()).await;
+        sleep(TRY_PAUSE).await;
     }
 }
 
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -44,6 +44,7 @@
         }
     };
     let seen = report.token;
+    node.look_for_cancelled(&report);
     match checkin(node, &report).await {
         Some(Answer {
             elsewhere: Some(other),
@@ -206,6 +207,7 @@
 
 /// Answers a report that another controller passed on.
 pub async fn passed_on(node: &Rc<Node>, report: Report, via: &str, relay: bool) -> peer::Reply {
+    node.look_for_cancelled(&report);
     let answer = match node.leading() {
         Some(leading) => lead(node, &leading, &report, via).await,
         None if relay => forward(node, &report, via, false).await,
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -1,196 +1,27 @@
 //! One controller from socket to socket, against stand-ins for the state service, the cloud and a worker that this
 //! file writes itself; loopback only, and nothing depends on how long anything takes.
 
+mod support;
+
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use async_net::{TcpListener, TcpStream};
+use async_net::TcpStream;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use http_types::Method;
 use ravenhead::config::{Platform, Settings};
 use ravenhead::controller::{self, Node};
 use ravenhead::http::{Call, Client, Reply, serve};
+use ravenhead::net::Listener;
 use ravenhead::units::Micros;
 use serde_json::{Value, json};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
-
-/// How the stand-in for the state service fails.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Trouble {
-    /// Every request is refused.
-    Down,
-    /// Every request is one too many.
-    Throttled,
-    /// Every answer is lost.
-    Lost,
-    /// Answers make no sense.
-    Garbled,
-    /// Watches begin too far back.
-    Forgetful,
-}
-
-/// A small key-value store by the published protocol.
-#[derive(Default)]
-struct Keys {
-    epoch: u64,
-    keys: BTreeMap<String, (Value, u64)>,
-    news: Vec<(u64, Value)>,
-    trouble: Option<Trouble>,
-    /// Watches tell nothing after this revision.
-    held_at: Option<u64>,
-    /// The last lease granted, and which keys hang on which.
-    leases: u64,
-    hanging: BTreeMap<String, u64>,
-    /// Transactions are applied, but their answers are lost.
-    losing: usize,
-    /// Every second transaction gets no answer and is carried out after some newer ones; those that wait.
-    late: Option<Vec<Value>>,
-    asked: usize,
-    ended: BTreeSet<u64>,
-}
-
-/// How many transactions without an answer wait before the oldest is carried out.
-const LATE_KEPT: usize = 4;
-
-impl Keys {
-    fn txn(&mut self, body: &Value) -> Reply {
-        let stamp = |keys: &Keys, k: &str| keys.keys.get(k).map_or(0, |(_, s)| *s);
-        let when = body["when"].as_array().cloned().unwrap_or_default();
-        let failed: Vec<&str> = when
-            .iter()
-            .filter(|c| stamp(self, c["k"].as_str().unwrap()) != c["stamp"].as_u64().unwrap())
-            .map(|c| c["k"].as_str().unwrap())
-            .collect();
-        if !failed.is_empty() {
-            return Reply::json(409, &json!({"failed": failed, "epoch": self.epoch}));
-        }
-        let mut writes = body["writes"].as_array().unwrap().iter();
-        if writes.any(|w| {
-            w["tenure"]
-                .as_u64()
-                .is_some_and(|l| self.ended.contains(&l))
-        }) {
-            return Reply::error(400, "no such lease");
-        }
-        self.epoch += 1;
-        for write in body["writes"].as_array().unwrap() {
-            let mut event = write.clone();
-            event["stamp"] = json!(self.epoch);
-            if let Some(key) = write["write"].as_str() {
-                let value = (write["data"].clone(), self.epoch);
-                self.keys.insert(key.to_owned(), value);
-                if let Some(lease) = write["tenure"].as_u64() {
-                    self.hanging.insert(key.to_owned(), lease);
-                }
-            } else if let Some(key) = write["delete"].as_str() {
-                self.keys.remove(key);
-            }
-            self.news.push((self.epoch, event));
-        }
-        Reply::json(200, &json!({"epoch": self.epoch}))
-    }
-
-    /// Carries a transaction out, or puts it aside in favour of one that was put aside before.
-    fn take(&mut self, body: Value) -> Reply {
-        self.asked += 1;
-        let asked = self.asked;
-        let Some(late) = &mut self.late else {
-            return self.txn(&body);
-        };
-        if asked.is_multiple_of(2) {
-            return self.txn(&body);
-        }
-        late.push(body);
-        if late.len() > LATE_KEPT {
-            let oldest = late.remove(0);
-            self.txn(&oldest);
-        }
-        Reply::error(500, "lost")
-    }
-
-    /// A lease ends, and what hangs on it goes.
-    fn end(&mut self, lease: u64) -> Reply {
-        self.ended.insert(lease);
-        let hang = self.hanging.iter().filter(|(_, l)| **l == lease);
-        let keys: Vec<String> = hang.map(|(k, _)| k.clone()).collect();
-        for key in keys {
-            self.hanging.remove(&key);
-            self.keys.remove(&key);
-            self.epoch += 1;
-            let gone = json!({"delete": key, "stamp": self.epoch});
-            self.news.push((self.epoch, gone));
-        }
-        Reply::json(200, &json!({}))
-    }
-
-    fn list(&self) -> Reply {
-        let items: Vec<Value> = self
-            .keys
-            .iter()
-            .map(|(k, (data, stamp))| json!({"k": k, "data": data, "stamp": stamp}))
-            .collect();
-        Reply::json(
-            200,
-            &json!({"items": items, "more": false, "epoch": self.epoch}),
-        )
-    }
-
-    fn get(&self, key: &str) -> Reply {
-        match self.keys.get(key) {
-            Some((data, stamp)) => {
-                Reply::json(200, &json!({"k": key, "data": data, "stamp": stamp}))
-            }
-            None => Reply::json(404, &json!({"epoch": self.epoch})),
-        }
-    }
-}
-
-/// The stand-in answers a watch at once with all that it has: what was seen already is harmless.
-fn state(keys: &RefCell<Keys>, call: &Call) -> Reply {
-    let mut keys = keys.borrow_mut();
-    let watched = call.path == "/watch";
-    match keys.trouble {
-        Some(Trouble::Down) => return Reply::error(503, "trouble"),
-        Some(Trouble::Throttled) => return Reply::error(429, "too many"),
-        Some(Trouble::Lost) => return Reply::error(500, "lost"),
-        Some(Trouble::Garbled) => return Reply::json(200, &json!({"odd": [1]})),
-        Some(Trouble::Forgetful) if watched => return Reply::error(410, "too old"),
-        Some(Trouble::Forgetful) | None => {}
-    }
-    match (call.method, call.path.as_str()) {
-        (Method::Post, "/txn") => {
-            let reply = keys.take(serde_json::from_slice(&call.body).unwrap());
-            if keys.losing == 0 {
-                return reply;
-            }
-            keys.losing -= 1;
-            Reply::error(500, "lost")
-        }
-        (Method::Post, "/holds") => {
-            keys.leases += 1;
-            Reply::json(200, &json!({"tenure": keys.leases}))
-        }
-        (Method::Delete, path) => {
-            let lease = path.trim_start_matches("/holds/").parse().unwrap();
-            keys.end(lease)
-        }
-        (Method::Post, _) => Reply::json(200, &json!({})),
-        (Method::Get, "/keys") => keys.list(),
-        (Method::Get, "/watch") => {
-            let last = keys.held_at.unwrap_or(keys.epoch);
-            let told = keys.news.iter().filter(|(epoch, _)| *epoch <= last);
-            let news: Vec<&Value> = told.map(|(_, n)| n).collect();
-            Reply::json(200, &json!({"epoch": last, "news": news}))
-        }
-        (Method::Get, path) => keys.get(path.trim_start_matches("/keys/")),
-        _ => Reply::error(400, "odd"),
-    }
-}
+use support::keys::{self, Keys, LATE_KEPT, Trouble};
 
 fn cloud(call: &Call) -> Reply {
     match (call.method, call.path.as_str()) {
@@ -204,19 +35,17 @@
     }
 }
 
-async fn listen() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+async fn listen() -> (Listener, SocketAddr) {
+    let listener = Listener::bind("127.0.0.1:0".parse().unwrap())
+        .await
+        .unwrap();
     let addr = listener.local_addr().unwrap();
     (listener, addr)
 }
 
-async fn stand_in(
-    ex: &LocalExecutor<'_>,
-    listener: TcpListener,
-    answer: Rc<dyn Fn(&Call) -> Reply>,
-) {
+async fn stand_in(ex: &LocalExecutor<'_>, listener: Listener, answer: Rc<dyn Fn(&Call) -> Reply>) {
     loop {
-        let (stream, _) = listener.accept().await.unwrap();
+        let stream = listener.accept().await.unwrap();
         let answer = answer.clone();
         ex.spawn(async move {
             serve(
@@ -374,7 +203,11 @@
             internal,
         };
         let k = keys.clone();
-        let state_in = stand_in(&ex, state_listener, Rc::new(move |call| state(&k, call)));
+        let state_in = stand_in(
+            &ex,
+            state_listener,
+            Rc::new(move |call| keys::answer(&k, call)),
+        );
         let cloud_in = stand_in(&ex, cloud_listener, Rc::new(cloud));
         // Boxed, as the unoptimised futures together are too large for a test's stack.
         let service = Box::pin(async {
