--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -4,7 +4,9 @@
 
 mod support;
 
-use support::world::{CANCEL_S, STATE, World, job, machine_host, node_host};
+use serde_json::json;
+use std::rc::Rc;
+use support::world::{Boots, CANCEL_S, LEASE_S, STATE, World, job, machine_host, node_host, with};
 
 /// Seeds over which a story is told.
 const SEEDS: std::ops::Range<u64> = 1..4;
@@ -26,16 +28,523 @@
     assert_ne!(first, run(2));
 }
 
+/// Tells a story over all seeds: users come for some 40 s, then the events, then all must be well.
+fn play(events: impl Fn(&Rc<World>)) {
+    for seed in SEEDS {
+        println!("seed {seed}");
+        let w = World::new(seed, 3);
+        w.traffic("a", 24, 1.2, 0.3, |id| {
+            let tasks = 1 + id.len() as u32 % 3 + u32::from(id.ends_with(['0', '5']));
+            job(id, tasks, 12.0)
+        });
+        w.run(14.0);
+        events(&w);
+        w.run(10.0);
+        w.settle(150.0);
+    }
+}
+
+/// The controllers that don't lead.
+fn followers(leader: usize) -> [usize; 2] {
+    [(leader + 1) % 3, (leader + 2) % 3]
+}
+
+/// The leader ends, and is back after some seconds.
+fn change_leader(w: &Rc<World>, back_after: f64) -> usize {
+    let leader = w.await_leader();
+    w.kill_node(leader);
+    w.run(back_after);
+    w.start_node(leader);
+    leader
+}
+
 #[test]
 fn a_quiet_day() {
+    play(|_| ());
+}
+
+#[test]
+fn users_meet_the_end_of_a_jobs_last_task() {
+    for seed in SEEDS {
+        let w = World::new(seed, 3);
+        for n in 0..12 {
+            let id = format!("j-{n}");
+            let spec = job(&id, 1 + n % 2, 3.0);
+            w.submit(0, &spec);
+            let all = spec["takes"].as_u64().expect("a number") as usize;
+            let over = |w: &World| w.ledger.borrow().jobs[&id].done.len() == all;
+            assert!(w.run_until(60.0, over), "{id} ends");
+            w.run(w.sim.chance() * 0.4);
+            // Some cancel, some submit again, all ask at all controllers, again and again.
+            if n % 3 == 0 {
+                w.spawn_cancel(w.sim.below(3), &id);
+            }
+            if n % 3 == 1 {
+                w.spawn_submit(w.sim.below(3), spec);
+            }
+            for _ in 0..20 {
+                w.spawn_ask_all(&id);
+                w.run(0.03);
+            }
+        }
+        w.settle(30.0);
+    }
+}
+
+#[test]
+fn all_controllers_are_asked_within_milliseconds_after_a_job_was_accepted_ended_or_cancelled() {
+    for (answers_lost, late) in [(0.0, 0.0), (0.3, 0.0), (0.0, 0.15)] {
+        for seed in SEEDS {
+            let w = World::new(seed, 3);
+            {
+                let mut state = w.state.borrow_mut();
+                (state.answers_lost, state.late) = (answers_lost, late);
+            }
+            for n in 0..10 {
+                let id = format!("j-{n}");
+                let spec = job(&id, 2, 4.0);
+                w.spawn_submit(n, spec.clone());
+                if n % 3 == 0 {
+                    w.run(0.02);
+                    w.spawn_cancel(n + 1, &id);
+                }
+                for _ in 0..30 {
+                    w.spawn_ask_all(&id);
+                    w.run(0.02);
+                }
+                w.spawn_submit(n + 1, spec);
+                if n % 3 == 1 {
+                    w.run(5.0);
+                    w.spawn_cancel(n + 2, &id);
+                    for _ in 0..30 {
+                        w.spawn_ask_all(&id);
+                        w.run(0.02);
+                    }
+                }
+            }
+            w.state.replace(Default::default());
+            w.settle(90.0);
+        }
+    }
+}
+
+/// A team at its limit, with three times as many tasks waiting; their names.
+fn at_the_limit(w: &Rc<World>) -> Vec<String> {
+    let ids: Vec<String> = (0..9).map(|n| format!("j-s{n}")).collect();
+    for id in &ids {
+        let spec = with(job(id, 2, 25.0), json!({"crew": "small"}));
+        w.submit(w.sim.below(3), &spec);
+    }
+    let full = |w: &World| {
+        let ledger = w.ledger.borrow();
+        ids.iter().map(|id| ledger.running(id)).sum::<usize>() == 6
+    };
+    assert!(w.run_until(60.0, full), "the team is at its limit");
+    ids
+}
+
+#[test]
+fn a_team_is_at_its_limit_while_jobs_on_cut_or_hung_machines_are_cancelled_and_the_leader_changes()
+{
+    for hang in [true, false] {
+        for seed in SEEDS {
+            let w = World::new(seed, 3);
+            let ids = at_the_limit(&w);
+            let held: Vec<String> = {
+                let ledger = w.ledger.borrow();
+                ids.iter().flat_map(|id| ledger.machines_of(id)).collect()
+            };
+            let hosts: Vec<_> = held.iter().map(|m| machine_host(m)).collect();
+            if hang {
+                for host in &hosts {
+                    w.sim.stand_still(*host, 3.0 + w.sim.chance() * 25.0);
+                }
+            } else {
+                w.cut(&hosts, &w.node_hosts(), true);
+            }
+            for id in ids.iter().take(5) {
+                w.spawn_cancel(w.sim.below(3), id);
+            }
+            w.run(w.sim.chance() * 2.0);
+            change_leader(&w, 3.0);
+            w.spawn_cancel(w.sim.below(3), &ids[5]);
+            w.run(8.0);
+            w.cut(&hosts, &w.node_hosts(), false);
+            w.settle(150.0);
+        }
+    }
+}
+
+#[test]
+fn a_leader_keeps_only_its_workers_and_users_and_jobs_are_cancelled_through_the_next() {
+    play(|w| {
+        let leader = w.await_leader();
+        let [a, b] = followers(leader);
+        let others = [STATE, node_host(a), node_host(b)];
+        w.cut(&[node_host(leader)], &others, true);
+        let next = |w: &World| w.leader().is_some_and(|l| l != leader);
+        assert!(w.run_until(20.0, next), "another leads");
+        for n in 0..6 {
+            w.spawn_cancel(a, &format!("j-a00{n}"));
+        }
+        w.run(CANCEL_S);
+        w.cut(&[node_host(leader)], &others, false);
+    });
+}
+
+#[test]
+fn old_reports_reach_every_controller_just_as_a_new_leader_begins_or_after_it_acted() {
+    for after in [0.0, 0.5, 5.0] {
+        play(|w| {
+            w.kept_for_next.replace(Some(Vec::new()));
+            w.run(4.0);
+            let kept = w.kept_for_next.take().expect("reports");
+            let old = w.await_leader();
+            w.kill_node(old);
+            let next = |w: &World| w.leader().is_some_and(|l| l != old);
+            assert!(w.run_until(20.0, next), "another leads");
+            w.run(after);
+            for body in kept {
+                for node in followers(old) {
+                    w.send_copy(node, body.clone(), 0.0);
+                }
+            }
+            w.run(3.0);
+            w.start_node(old);
+        });
+    }
+}
+
+#[test]
+fn transactions_without_an_answer_are_carried_out_late_or_at_once() {
+    for (answers_lost, late) in [(0.0, 0.25), (0.35, 0.0), (0.15, 0.15)] {
+        play(|w| {
+            {
+                let mut state = w.state.borrow_mut();
+                (state.answers_lost, state.late) = (answers_lost, late);
+            }
+            w.run(15.0);
+            change_leader(w, 0.4);
+            w.run(15.0);
+            w.state.replace(Default::default());
+        });
+    }
+}
+
+#[test]
+fn a_zone_with_a_controller_is_cut_off_for_longer_than_a_lease() {
+    play(|w| {
+        let zone = w.zone_of(w.sim.below(2));
+        let (inside, beyond) = (w.zone_hosts(&zone), w.hosts_beyond(&zone));
+        w.cut(&inside, &beyond, true);
+        w.run(2.0);
+        for n in 0..4 {
+            w.spawn_cancel(w.sim.below(3), &format!("j-a00{n}"));
+        }
+        w.run(LEASE_S * 2.0);
+        w.cut(&inside, &beyond, false);
+    });
+}
+
+#[test]
+fn one_task_jobs_come_four_a_second_and_a_quarter_is_cancelled() {
     for seed in SEEDS {
         let w = World::new(seed, 3);
-        w.traffic("a", 20, 1.0, 0.2, |id| job(id, 4, 8.0));
-        w.run(30.0);
+        w.traffic("b", 160, 0.25, 0.25, |id| job(id, 1, 3.0));
+        w.run(20.0);
+        change_leader(&w, 2.0);
+        w.run(25.0);
         w.settle(120.0);
     }
 }
 
+#[test]
+fn all_controllers_are_away_for_less_and_for_longer_than_a_lease() {
+    for away in [1.0, LEASE_S * 1.5] {
+        play(|w| {
+            for node in 0..3 {
+                w.kill_node(node);
+            }
+            w.run(away);
+            for node in 0..3 {
+                w.run(w.sim.chance());
+                w.start_node(node);
+            }
+        });
+    }
+}
+
+#[test]
+fn copies_of_reports_arrive_seconds_to_well_over_a_lease_later() {
+    play(|w| {
+        w.copies.set(0.4);
+        // Some sessions end and begin anew meanwhile.
+        for machine in w.machines_up().iter().take(3) {
+            w.sim.stand_still(machine_host(machine), LEASE_S + 2.0);
+        }
+        w.run(15.0);
+        change_leader(w, 1.0);
+        w.run(20.0);
+        w.copies.set(0.0);
+    });
+}
+
+/// The ways of machines that are troubled.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Way {
+    /// Their reports arrive, answers do not.
+    Deaf,
+    /// They reach nobody.
+    Mute,
+    /// Neither way is open.
+    Cut,
+}
+
+fn trouble(w: &Rc<World>, machines: &[String], way: Way, on: bool) {
+    for machine in machines {
+        for node in w.node_hosts() {
+            if way != Way::Mute {
+                w.sim.block(node, machine_host(machine), on);
+            }
+            if way != Way::Deaf {
+                w.sim.block(machine_host(machine), node, on);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_leader_ends_while_machines_can_not_be_reached_or_hear_nothing_or_reach_nobody() {
+    for way in [Way::Deaf, Way::Mute, Way::Cut] {
+        for lasts in [3.0, 6.0, LEASE_S * 1.5] {
+            play(|w| {
+                println!("{way:?} {lasts}");
+                let up = w.machines_up();
+                let some = &up[..up.len().div_ceil(2)];
+                trouble(w, some, way, true);
+                w.run(w.sim.chance() * 2.0);
+                w.spawn_cancel(w.sim.below(3), "j-a001");
+                change_leader(w, 1.5);
+                w.spawn_cancel(w.sim.below(3), "j-a002");
+                w.run(lasts);
+                trouble(w, some, way, false);
+            });
+        }
+    }
+}
+
+#[test]
+fn jobs_bound_to_one_zone_lose_machines() {
+    for seed in SEEDS {
+        let w = World::new(seed, 3);
+        for n in 0..9 {
+            let changes = match n % 3 {
+                0 => json!({"yard": "z1"}),
+                1 => json!({"together": true}),
+                _ => json!({"spread": true, "takes": 3}),
+            };
+            w.submit(n % 3, &with(job(&format!("j-{n}"), 3, 10.0), changes));
+        }
+        for _ in 0..4 {
+            w.run(5.0);
+            let up = w.machines_up();
+            if let Some(machine) = up.get(w.sim.below(up.len())) {
+                w.remove_machine(machine);
+            }
+        }
+        change_leader(&w, 1.0);
+        w.settle(200.0);
+    }
+}
+
+#[test]
+fn answers_to_machines_are_held_up_for_seconds_and_machines_hang_and_go_on() {
+    play(|w| {
+        for _ in 0..3 {
+            let up = w.machines_up();
+            trouble(w, &up, Way::Deaf, true);
+            w.run(1.0 + w.sim.chance() * 4.0);
+            trouble(w, &up, Way::Deaf, false);
+            for machine in up.iter().step_by(2) {
+                w.sim
+                    .stand_still(machine_host(machine), 1.0 + w.sim.chance() * 8.0);
+            }
+            w.spawn_cancel(w.sim.below(3), &format!("j-a00{}", w.sim.below(10)));
+            w.run(6.0);
+        }
+    });
+}
+
+#[test]
+fn the_state_service_is_slow_then_refuses_the_leader_then_all() {
+    play(|w| {
+        w.state.borrow_mut().slow_s = 0.3;
+        w.run(12.0);
+        w.state.borrow_mut().slow_s = 0.0;
+        let leader = w.await_leader();
+        w.refuse_node(leader, true);
+        for n in 0..6 {
+            w.spawn_cancel(w.sim.below(3), &format!("j-a00{n}"));
+            w.spawn_ask_all(&format!("j-a00{n}"));
+        }
+        w.run(w.sim.chance() * 2.0);
+        w.state_out(true);
+        w.run(CANCEL_S + 5.0);
+        w.state_out(false);
+        w.refuse_node(leader, false);
+    });
+}
+
+#[test]
+fn jobs_are_cancelled_in_the_seconds_in_which_work_changes_hands() {
+    for back_after in [0.2, 4.0] {
+        play(|w| {
+            let mut next = 0;
+            for _ in 0..2 {
+                let leader = w.await_leader();
+                w.kill_node(leader);
+                for _ in 0..8 {
+                    w.spawn_cancel(w.sim.below(3), &format!("j-a{next:03}"));
+                    next += 1;
+                    w.run(w.sim.chance() * back_after / 4.0);
+                }
+                w.start_node(leader);
+                w.run(4.0);
+            }
+        });
+    }
+}
+
+#[test]
+fn leaders_change_ten_times_in_two_minutes_also_in_an_outage() {
+    play(|w| {
+        for turn in 0..10 {
+            let leader = w.leader().unwrap_or(turn % 3);
+            w.kill_node(leader);
+            if turn == 4 {
+                w.state_out(true);
+            }
+            w.spawn_cancel(w.sim.below(3), &format!("j-a{turn:03}"));
+            w.run(w.sim.chance() * 6.0);
+            w.start_node(leader);
+            w.run(3.0 + w.sim.chance() * 3.0);
+            if turn == 6 {
+                w.state_out(false);
+            }
+        }
+    });
+}
+
+#[test]
+fn controllers_hand_over_and_back_all_end_and_one_returns_within_a_second() {
+    play(|w| {
+        for _ in 0..3 {
+            change_leader(w, 0.1);
+            w.run(w.sim.chance() * 3.0);
+        }
+        for node in 0..3 {
+            w.kill_node(node);
+        }
+        w.run(0.3);
+        let first = w.sim.below(3);
+        w.start_node(first);
+        // It ends once more in the middle of its election.
+        w.run(w.sim.chance() * 0.3);
+        w.kill_node(first);
+        w.run(0.2);
+        w.start_node(first);
+        w.run(6.0);
+        for node in followers(first) {
+            w.start_node(node);
+        }
+    });
+}
+
+#[test]
+fn machines_are_up_within_two_seconds_and_get_work_while_writes_lag_and_the_leader_ends() {
+    for seed in SEEDS {
+        let w = World::new(seed, 3);
+        w.boots.set(Boots {
+            seconds: 1.0,
+            failed: 0.1,
+        });
+        w.traffic("q", 20, 0.8, 0.3, |id| job(id, 3, 5.0));
+        w.run(0.5);
+        w.state.borrow_mut().late = 0.3;
+        for _ in 0..3 {
+            w.run(1.0 + w.sim.chance() * 2.0);
+            change_leader(&w, 0.5);
+        }
+        w.run(10.0);
+        w.state.replace(Default::default());
+        w.settle(150.0);
+    }
+}
+
+#[test]
+fn there_is_more_work_than_room_urgent_and_not_over_slow_links() {
+    for seed in SEEDS {
+        let w = World::new(seed, 3);
+        w.capacity.set(3);
+        w.sim.latency.set(150_000);
+        w.traffic("o", 30, 1.0, 0.1, |id| {
+            let rank = if id.ends_with(['1', '4', '7']) {
+                "urgent"
+            } else {
+                "low"
+            };
+            with(
+                job(id, 4, 6.0),
+                json!({"rank": rank, "markS": 2.0, "stowS": 0.5}),
+            )
+        });
+        w.run(25.0);
+        change_leader(&w, 2.0);
+        w.run(15.0);
+        w.sim.latency.set(500);
+        w.settle(240.0);
+    }
+}
+
+#[test]
+fn tasks_of_a_job_end_far_apart_over_changes_of_leader() {
+    for seed in SEEDS {
+        let w = World::new(seed, 3);
+        for n in 0..4 {
+            w.submit(n, &job(&format!("j-{n}"), 3, 20.0));
+        }
+        // One task of each is held back.
+        let one = |w: &World| w.ledger.borrow().machines_of("j-0").first().cloned();
+        assert!(w.run_until(60.0, |w| one(w).is_some()), "it runs");
+        let machine = one(&w).expect("a machine");
+        w.run(4.0);
+        w.sim.stand_still(machine_host(&machine), LEASE_S - 3.0);
+        for _ in 0..3 {
+            change_leader(&w, 1.0);
+            w.run(6.0);
+        }
+        w.settle(150.0);
+    }
+}
+
+#[test]
+fn a_machine_hangs_with_tasks_that_are_cancelled_and_goes_on_within_or_after_its_lease() {
+    for hangs in [2.0, LEASE_S - 2.0, LEASE_S + 2.0, CANCEL_S + 20.0] {
+        play(|w| {
+            let running = |n: &usize| w.ledger.borrow().running(&format!("j-a{n:03}")) > 0;
+            let ids: Vec<usize> = (0..24).filter(running).collect();
+            for n in ids {
+                let id = format!("j-a{n:03}");
+                w.spawn_cancel(w.sim.below(3), &id);
+                for machine in w.ledger.borrow().machines_of(&id) {
+                    w.sim.stand_still(machine_host(&machine), hangs);
+                }
+            }
+            w.run(CANCEL_S);
+        });
+    }
+}
+
 /// What keeps the leader from the state service, and from whom else.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Cut {
--- a/tests/support/sim.rs
+++ b/tests/support/sim.rs
@@ -60,6 +60,8 @@
     hosts: RefCell<BTreeMap<HostId, Host>>,
     rng: RefCell<fastrand::Rng>,
     guests: Cell<usize>,
+    /// Microseconds that a packet takes at least.
+    pub latency: Cell<u64>,
     doors: RefCell<BTreeMap<SocketAddr, Rc<Door>>>,
     /// Ways on which nothing gets through for now.
     blocked: RefCell<BTreeSet<(HostId, HostId)>>,
@@ -82,6 +84,7 @@
     pub fn new(seed: u64) -> Rc<Sim> {
         let made = Rc::new(Sim {
             current: Cell::new(STORY),
+            latency: Cell::new(500),
             rng: RefCell::new(fastrand::Rng::with_seed(seed)),
             ..Sim::default()
         });
@@ -430,7 +433,8 @@
 
     fn poll_write(&self, _: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let sim = sim();
-        let at = sim.now() + 500 + sim.below(500) as u64;
+        let least = sim.latency.get();
+        let at = sim.now() + least + sim.below(least as usize) as u64;
         let good = self.output.change(|p| {
             if p.broken || p.closed {
                 return false;
