Where writes are short, finishes wait for their job's next placement or end, or ten seconds

A chunk with nothing newly placed waits while more than half of the share of writes is used up. Workers go on reporting what is not written, as it is not cleared before, and no machine goes back with an unwritten finish.

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -280,7 +280,11 @@
         let mut idle = Vec::new();
         for (id, m) in self.machines.iter().rev() {
             let Some(since) = m.idle_since else { continue };
-            if !m.is_empty() || now.since(m.heard_at) > self.knobs.report.scaled(2, 1) {
+            // What it reports as finished must be written first.
+            if !m.is_empty()
+                || !m.exited.is_empty()
+                || now.since(m.heard_at) > self.knobs.report.scaled(2, 1)
+            {
                 continue;
             }
             let drained = m.life == Life::Draining;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -149,6 +149,8 @@
 
 /// Most changes of one write, those that remove records aside.
 const MOST_OPS: usize = 3;
+/// Where writes are short, finishes wait so long for others of their job.
+const FINISHES_WAIT: Micros = Micros::secs(10);
 /// Machines whose images go into one batch.
 const IMAGES_PER_BATCH: usize = 4;
 /// Names of machines that are gone, of which late reports and lists may still speak.
@@ -159,6 +161,8 @@
     knobs: Knobs,
     token: u64,
     began: Micros,
+    /// The time of the latest report or round.
+    latest: Micros,
     /// The time of day, in microseconds, as of the last plan of the fleet.
     wall: u64,
     rng: fastrand::Rng,
@@ -205,6 +209,7 @@
             knobs,
             token,
             began: now,
+            latest: now,
             wall: 0,
             rng: fastrand::Rng::with_seed(seed),
             teams,
@@ -420,6 +425,9 @@
             return;
         };
         if let Some(chunk) = job.chunks.get_mut(&number) {
+            if !chunk.dirty {
+                chunk.changed_at = self.latest;
+            }
             chunk.dirty = true;
             let place = (Reverse(job.spec.priority), id.clone(), number);
             self.dirty.insert(place);
@@ -444,10 +452,16 @@
         let mut batch = Vec::new();
         let mut left = ops;
         let mut size = 0;
+        let mut later = Vec::new();
         while left >= MOST_OPS && size < bytes {
-            let Some((_, id, number)) = self.dirty.pop_first() else {
+            let Some(place) = self.dirty.pop_first() else {
                 break;
             };
+            if short && self.can_wait(&place.1, place.2) {
+                later.push(place);
+                continue;
+            }
+            let (_, id, number) = place;
             if let Some(whole) = self.whole_end(&id) {
                 left -= whole.ops();
                 batch.push(whole);
@@ -475,6 +489,7 @@
                 version: chunk.version,
             });
         }
+        self.dirty.extend(later);
         self.add_ends(&mut batch, &mut left);
         if short {
             return batch;
@@ -486,6 +501,23 @@
         batch
     }
 
+    /// Whether nobody waits for a chunk's changes: its job goes on, nothing is newly placed, and it changed just now.
+    ///
+    /// Guards against the finishes of many short tasks, each written by itself, that use up the writes for which starts
+    /// wait. What is not written yet still stands in the workers' reports, as it is not cleared before.
+    fn can_wait(&self, id: &JobId, number: u32) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let Some(chunk) = job.chunks.get(&number) else {
+            return false;
+        };
+        !job.ending
+            && job.done < job.spec.tasks
+            && chunk.live.values().all(|p| p.committed)
+            && self.latest.since(chunk.changed_at) < FINISHES_WAIT
+    }
+
     /// The end of a job of one chunk whose tasks are all finished, with nothing left of it: three changes in place of five,
     /// as users may submit jobs of one task by the thousand.
     fn whole_end(&mut self, id: &JobId) -> Option<Write> {
--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -532,6 +532,8 @@
     pub version: u64,
     /// Whether there is something to write.
     pub dirty: bool,
+    /// Since when there is.
+    pub changed_at: Micros,
 }
 
 impl Chunk {
@@ -570,6 +572,7 @@
             live: live.collect(),
             version,
             dirty: false,
+            changed_at: Micros::ZERO,
         }
     }
 }
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -56,6 +56,7 @@
 impl Scheduler {
     /// One round: offers every due job, then makes room for what must not wait.
     pub fn round(&mut self, now: Micros) {
+        self.latest = now;
         self.offers_made = 0;
         self.guaranteed = self.guaranteed_jobs();
         let due = self.due_jobs(now);
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -23,6 +23,7 @@
 impl Scheduler {
     /// Takes in a report that the controller `via` passed on, or that came to this one.
     pub fn on_report(&mut self, r: &Report, via: &str, now: Micros) -> Heard {
+        self.latest = now;
         // Late reports of machines that are gone must not bring them back.
         if self.gone.contains(&r.machine) {
             return Heard::default();
--- a/src/state.rs
+++ b/src/state.rs
@@ -227,9 +227,11 @@
         self.writes.borrow_mut().per_second = write_rps;
     }
 
-    /// Whether the share of writes is used up, so that what matters less should wait.
+    /// Whether the share of writes is more than half used up, so that what matters less should wait.
     pub fn writes_are_short(&self) -> bool {
-        self.writes.borrow().take(0.0) > Micros::ZERO
+        let writes = self.writes.borrow();
+        writes.take(0.0);
+        writes.level.get() < writes.per_second / 2.0
     }
 
     async fn pace(&self, urgency: Urgency, writes: usize) {
