--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -49,8 +49,8 @@
 pub(super) struct Fleet {
     /// Whether the machine list was read in this term.
     listed: bool,
-    /// Whether work came of late that can't wait for a boot and ends soon.
-    brisk: bool,
+    /// When there was work that can't wait for a boot.
+    brisk_at: Option<Micros>,
     /// Asked for, not answered.
     renting: Vec<Want>,
     /// Pools that had none, and until when they are left alone.
@@ -87,7 +87,7 @@
         self.touch.shed = self.workers_to_shed(now);
         self.give_up_lost(now);
         self.overdue_cancels(wall);
-        self.look_for_brisk(wall);
+        self.look_for_brisk(now);
         let reserve = self.reserve(wall);
         self.plan_fold(reserve.as_ref(), now);
         self.give_up_idle(reserve.as_ref(), now);
@@ -314,8 +314,11 @@
     /// there is brisk work, for which another would come too late.
     fn idle_limit(&self, m: &Machine) -> Micros {
         let boot = self.flavors.get(&m.rig).map_or(Micros::ZERO, Flavor::boot);
-        let part = if self.fleet.brisk { 8 } else { 1 };
-        self.knobs.idle.unwrap_or(boot.scaled(part, 8))
+        let lately = |at: Micros| self.latest.since(at) < ARRIVALS_OVER;
+        let brisk = self.fleet.brisk_at.is_some_and(lately);
+        self.knobs
+            .idle
+            .unwrap_or(boot.scaled(if brisk { 8 } else { 1 }, 8))
     }
 
     /// Whether what a job's aims allow it to wait is over before a machine that is rented for it has booted.
@@ -334,15 +337,15 @@
         spec.shape == Shape::Array && least.is_some_and(|least| least < boot)
     }
 
-    /// Notes whether brisk work came of late.
-    fn look_for_brisk(&mut self, wall: u64) {
-        let recent = |j: &&Job| wall.saturating_sub(j.at) < ARRIVALS_OVER.0;
-        let brisk = self
+    /// Notes brisk work that is there.
+    fn look_for_brisk(&mut self, now: Micros) {
+        if self
             .jobs
             .values()
-            .filter(recent)
-            .any(|j| self.is_brisk(&j.spec));
-        self.fleet.brisk = brisk;
+            .any(|j| !j.ending && self.is_brisk(&j.spec))
+        {
+            self.fleet.brisk_at = Some(now);
+        }
     }
 
     /// The places to keep for tasks that can't wait for a boot, with a job that stands for them.
--- /dev/null
+++ b/src/scheduler/stories/brisk.rs
@@ -0,0 +1,136 @@
+//! Many short tasks of several teams, and few writes.
+
+use super::*;
+
+/// A job whose aims leave no time for a boot.
+fn brisk(id: &str, tasks: u32) -> JobSpec {
+    JobSpec {
+        priority: Priority::Urgent,
+        expect_s: 15.0,
+        checkpoint_s: 0.0,
+        due_s: Some(30.0),
+        ..spec(id, tasks)
+    }
+}
+
+// Guards against two jobs that stop each other's tasks for ever, one by its rank and one by its team's guarantee, and
+// against small tasks that take, bit by bit, the room that is being made for a large one.
+#[test]
+fn what_a_team_is_guaranteed_takes_the_room_made_for_it_and_keeps_it() {
+    let mut t = Story::new(0.0);
+    t.s.knobs.guarantee_within = Some(Micros::secs(15));
+    for (name, cards) in [("owed", 2.0), ("borrows", 1.0)] {
+        let share = TeamShare::new(0.0, 0.0, cards, 0.0);
+        t.s.teams.insert(name.into(), share);
+    }
+    let of = |team: &str, spec: JobSpec| JobSpec {
+        team: team.into(),
+        ..spec
+    };
+    t.worker("m-1", "a", false);
+    t.submit(of("borrows", brisk("j-1", 2)));
+    t.round();
+    t.beat("m-1");
+    t.beat("m-1");
+    assert_eq!(t.running(), 2);
+    t.submit(of("borrows", brisk("j-2", 3)));
+    let large = JobSpec {
+        priority: Priority::Normal,
+        cores: 12.0,
+        cards: 2.0,
+        ram_gb: 96.0,
+        ..spec("j-3", 1)
+    };
+    t.submit(of("owed", large));
+    let stops = t.ask("m-1");
+    assert_eq!(stops.len(), 2, "{stops:?}");
+    assert!(stops.iter().all(|o| matches!(o, Order::Stop { .. })));
+    // One of the two exits first.
+    let worker = t.workers.get_mut("m-1").expect("a worker");
+    worker.execute(&stops[..1], TOKEN);
+    let orders = t.ask("m-1");
+    assert_eq!(runs(&orders), 0, "its room is kept: {orders:?}");
+    let worker = t.workers.get_mut("m-1").expect("a worker");
+    worker.execute(&stops[1..], TOKEN);
+    for _ in 0..6 {
+        t.beat("m-1");
+        t.wait(1);
+    }
+    let tasks = &t.workers["m-1"].tasks;
+    let live = tasks
+        .iter()
+        .filter(|(_, (state, _))| *state != TaskState::Exited);
+    let names: Vec<&str> = live.map(|((task, _), _)| task.as_str()).collect();
+    assert_eq!(names, ["j-3/0"]);
+}
+
+/// Seconds for which an empty machine is kept after such a job.
+fn kept_after(job: JobSpec) -> u64 {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(job);
+    t.s.plan_fleet(t.now, 1_000_000);
+    t.round();
+    t.beat("m-1");
+    t.wait(70);
+    let worker = t.workers.get_mut("m-1").expect("a worker");
+    worker.exit_all(ExitCause::Done);
+    t.beat("m-1");
+    t.beat("m-1");
+    for seconds in 0..100 {
+        t.beat("m-1");
+        if !t.s.plan_fleet(t.now, 1_000_000).give_back.is_empty() {
+            return seconds;
+        }
+        t.wait(1);
+    }
+    100
+}
+
+// Guards against machines that are given back and rented again all the time where work comes and goes faster than
+// machines boot: each boot is paid for, and comes too late.
+#[test]
+fn machines_are_kept_as_long_as_a_boot_takes_for_work_that_cannot_wait_for_one() {
+    assert_eq!(kept_after(spec("j-1", 1)), 5);
+    assert_eq!(kept_after(brisk("j-1", 1)), 40);
+}
+
+// Guards against the finishes of many short tasks using up the writes for which starts wait.
+#[test]
+fn where_writes_are_short_finishes_wait_for_their_jobs_next_placement_or_end_or_some_seconds() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.submit(JobSpec {
+        cores: 1.0,
+        cards: 0.0,
+        ram_gb: 1.0,
+        ..spec("j-1", 3)
+    });
+    t.round();
+    t.beat("m-1");
+    let finish = |t: &mut Story, index: u32| {
+        let worker = t.workers.get_mut("m-1").expect("a worker");
+        let task = format!("j-1/{index}");
+        for ((name, _), state) in worker.tasks.iter_mut() {
+            if *name == task {
+                *state = (TaskState::Exited, Some(ExitCause::Done));
+            }
+        }
+        let report = worker.report("m-1");
+        t.s.on_report(&report, t.via, t.now);
+    };
+    finish(&mut t, 0);
+    assert_eq!(t.s.next_batch(20, 36_000, true), vec![]);
+    t.wait(11);
+    finish(&mut t, 1);
+    let batch = t.s.next_batch(20, 36_000, true);
+    assert!(
+        matches!(&batch[..], [Write::Chunk { record, .. }] if record.finished == 0b11),
+        "{batch:?}"
+    );
+    t.revision += 1;
+    t.s.batch_applied(&batch, t.revision);
+    finish(&mut t, 2);
+    let batch = t.s.next_batch(20, 36_000, true);
+    assert!(matches!(&batch[..], [Write::Whole { .. }]), "{batch:?}");
+}
--- a/src/scheduler/stories/mod.rs
+++ b/src/scheduler/stories/mod.rs
@@ -1,5 +1,6 @@
 //! Short stories about the scheduler, told against workers and a store that exist only in memory, in virtual time.
 
+mod brisk;
 mod faults;
 mod fleet;
 mod orders;
