Room for brisk work is kept ready by what it asked for in the last two minutes

Now brisk work's processors, asked for by running and waiting tasks, are noted every second; there is to be free room for what it asked for at three quarters of the times of the last two minutes.

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -12,6 +12,9 @@
 const LEAST_CHARGE: Micros = Micros::secs(60);
 /// Fewer waiting tasks than this are no ramp.
 const RAMP_FROM: usize = 16;
+/// How often it is noted how much brisk work asks for, and at which part of these times there is to be room for it.
+const SAMPLE_EVERY: Micros = Micros::secs(1);
+const MOSTLY: (usize, usize) = (3, 4);
 /// How far back arrivals are counted to size the reserve.
 const ARRIVALS_OVER: Micros = Micros::secs(120);
 
@@ -51,6 +54,8 @@
     listed: bool,
     /// When there was work that can't wait for a boot.
     brisk_at: Option<Micros>,
+    /// Processors that brisk work asked for at recent times, running and waiting.
+    brisk_asked: VecDeque<(Micros, i64)>,
     /// Asked for, not answered.
     renting: Vec<Want>,
     /// Pools that had none, and until when they are left alone.
@@ -337,15 +342,41 @@
         spec.shape == Shape::Array && least.is_some_and(|least| least < boot)
     }
 
-    /// Notes brisk work that is there.
+    /// Notes the brisk work that is there.
     fn look_for_brisk(&mut self, now: Micros) {
-        if self
-            .jobs
-            .values()
-            .any(|j| !j.ending && self.is_brisk(&j.spec))
-        {
+        let open = self.jobs.values().filter(|j| !j.ending);
+        let asked = open.filter(|j| self.is_brisk(&j.spec)).map(|j| {
+            let left = (j.spec.tasks - j.done) as usize;
+            j.spec.need().times(left).cores
+        });
+        let asked: i64 = asked.sum();
+        if asked > 0 {
             self.fleet.brisk_at = Some(now);
         }
+        let samples = &mut self.fleet.brisk_asked;
+        if samples
+            .back()
+            .is_none_or(|(at, _)| now.since(*at) >= SAMPLE_EVERY)
+        {
+            samples.push_back((now, asked));
+        }
+        samples.retain(|(at, _)| now.since(*at) < ARRIVALS_OVER);
+    }
+
+    /// The brisk job that came last, and how many places like its own are to be free: so many that what brisk work asked
+    /// for at most of the recent times would find room.
+    fn brisk_reserve(&self) -> Option<(Rc<JobSpec>, usize)> {
+        let brisk = |j: &&Job| !j.ending && self.is_brisk(&j.spec);
+        let jobs = || self.jobs.values().filter(brisk);
+        let spec = jobs().max_by_key(|j| j.at)?.spec.clone();
+        let mut asked: Vec<i64> = self.fleet.brisk_asked.iter().map(|(_, a)| *a).collect();
+        asked.sort_unstable();
+        let usual = *asked.get(asked.len() * MOSTLY.0 / MOSTLY.1)?;
+        let now: i64 = jobs()
+            .map(|j| j.spec.need().times(j.live as usize).cores)
+            .sum();
+        let places = (usual - now).max(0) / spec.need().cores.max(1);
+        Some((spec, places as usize))
     }
 
     /// The places to keep for tasks that can't wait for a boot, with a job that stands for them.
@@ -365,7 +396,10 @@
                 newest = Some(job);
             }
         }
-        let spec = newest?.spec.clone();
+        let Some(newest) = newest else {
+            return self.brisk_reserve();
+        };
+        let spec = newest.spec.clone();
         if let Some(fixed) = self.knobs.reserve {
             return Some((spec, fixed as usize));
         }
@@ -396,7 +430,8 @@
         let mut room = m.free();
         for (task, need) in &m.held {
             let job = self.jobs.get(&task.job);
-            if job.is_some_and(|j| j.spec.priority < spec.priority) {
+            if spec.shape == Shape::Service && job.is_some_and(|j| j.spec.priority < spec.priority)
+            {
                 room += *need;
             }
         }
