--- a/src/leader.rs
+++ b/src/leader.rs
@@ -641,8 +641,9 @@
         match node.cloud.rent(rental).await {
             Ok(rented) => {
                 info!(
-                    "event=machines_rented charter={} zone={} spot={} asked={} got={}",
+                    "event=machines_rented charter={} rig={} zone={} spot={} asked={} got={}",
                     rental.charter,
+                    rental.rig,
                     rental.zone,
                     rental.spot,
                     rental.count,
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -67,8 +67,8 @@
                 .extend(self.known_images.remove(&r.machine).unwrap_or_default());
             let took = now.since(m.since);
             self.notes.push(format!(
-                "event=machine_up machine={} zone={} spot={} after={took}",
-                r.machine, r.zone, r.spot
+                "event=machine_up machine={} rig={} zone={} spot={} after={took}",
+                r.machine, r.rig, r.zone, r.spot
             ));
         }
         let noticed = r.notice_s.is_some() && m.notice.is_none();
