--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -14,6 +14,7 @@
 const RAMP_FROM: usize = 16;
 /// How often it is noted how much brisk work asks for, and at which part of these times there is to be room for it.
 const SAMPLE_EVERY: Micros = Micros::secs(1);
+const ASKED_OVER: Micros = Micros::secs(60);
 const MOSTLY: (usize, usize) = (3, 4);
 /// How far back arrivals are counted to size the reserve.
 const ARRIVALS_OVER: Micros = Micros::secs(120);
@@ -283,7 +284,10 @@
             None => usize::MAX,
         };
         let mut idle = Vec::new();
-        for (id, m) in self.machines.iter().rev() {
+        // Ordinary machines cost about three times as much.
+        let mut machines: Vec<(&MachineId, &Machine)> = self.machines.iter().rev().collect();
+        machines.sort_by_key(|(_, m)| m.spot);
+        for (id, m) in machines {
             let Some(since) = m.idle_since else { continue };
             // What it reports as finished must be written first.
             if !m.is_empty()
@@ -360,7 +364,7 @@
         {
             samples.push_back((now, asked));
         }
-        samples.retain(|(at, _)| now.since(*at) < ARRIVALS_OVER);
+        samples.retain(|(at, _)| now.since(*at) < ASKED_OVER);
     }
 
     /// The brisk job that came last, and how many places like its own are to be free: so many that what brisk work asked
