--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -205,9 +205,11 @@
                 self.release(&task.job, task.index);
                 self.requeue(&task.job, now);
             }
-            self.machines.remove(id);
-            self.known_images.remove(id);
-            self.new_images.insert(id.clone());
+            let gone = self.machines.remove(id);
+            let known = self.known_images.remove(id).is_some();
+            if known || gone.is_some_and(|m| !m.written_images.is_empty()) {
+                self.new_images.insert(id.clone());
+            }
             if self.gone.insert(id.clone()) {
                 self.gone_order.push_back(id.clone());
             }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -538,12 +538,21 @@
 
     /// Images seen on machines, a few at a time as they matter least.
     fn add_images(&mut self, batch: &mut Vec<Write>, left: &mut usize) {
-        for _ in 0..IMAGES_PER_BATCH.min(*left) {
+        let mut room = IMAGES_PER_BATCH.min(*left);
+        while room > 0 {
             let Some(machine) = self.new_images.pop_first() else {
                 return;
             };
+            let images = match self.machines.get_mut(&machine) {
+                Some(m) if m.images_are_written() => continue,
+                Some(m) => {
+                    m.written_images = m.image_names();
+                    Some(m.images.clone())
+                }
+                None => None,
+            };
+            room -= 1;
             *left -= 1;
-            let images = self.machines.get(&machine).map(|m| m.images.clone());
             batch.push(Write::Images { machine, images });
         }
     }
@@ -679,6 +688,9 @@
                     }
                 }
                 Write::Images { machine, .. } => {
+                    if let Some(m) = self.machines.get_mut(machine) {
+                        m.written_images.clear();
+                    }
                     self.new_images.insert(machine.clone());
                 }
                 Write::Forget { .. } => {}
@@ -717,6 +729,7 @@
         listed_running: false,
         lost: false,
         images: Vec::new(),
+        written_images: BTreeSet::new(),
         failed_jobs: BTreeSet::new(),
         idle_since: None,
         excused_at: Micros::ZERO,
--- a/src/scheduler/model.rs
+++ b/src/scheduler/model.rs
@@ -809,6 +809,8 @@
     pub lost: bool,
     /// Cached images with their sizes, the least recently used first.
     pub images: Vec<CachedImage>,
+    /// The names of those that were written down for the next leader.
+    pub written_images: BTreeSet<String>,
     /// Jobs that failed on it with none succeeding since.
     pub failed_jobs: BTreeSet<JobId>,
     /// Since when nothing is on it.
@@ -874,6 +876,20 @@
         }
     }
 
+    /// The names of its images.
+    pub fn image_names(&self) -> BTreeSet<String> {
+        self.images.iter().map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Whether the images that it has are those that were written down, in whatever order they were used.
+    pub fn images_are_written(&self) -> bool {
+        self.images.len() == self.written_images.len()
+            && self
+                .images
+                .iter()
+                .all(|(n, _)| self.written_images.contains(n))
+    }
+
     /// How many tasks its next report will name: those placed, those that nobody placed, and those not cleared yet.
     pub fn reported_tasks(&self) -> usize {
         self.held.len() + self.extra.len() + self.exited.len()
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -65,6 +65,7 @@
             m.idle_since = Some(now);
             m.images
                 .extend(self.known_images.remove(&r.machine).unwrap_or_default());
+            m.written_images = m.image_names();
             let took = now.since(m.since);
             self.notes.push(format!(
                 "event=machine_up machine={} rig={} zone={} spot={} after={took}",
--- a/src/scheduler/stories/brisk.rs
+++ b/src/scheduler/stories/brisk.rs
@@ -134,3 +134,34 @@
     let batch = t.s.next_batch(20, 36_000, true);
     assert!(matches!(&batch[..], [Write::Whole { .. }]), "{batch:?}");
 }
+
+// Guards against a change for every task that starts, and for every machine that goes back: images are written where they
+// differ from what was written, and removed where they were.
+#[test]
+fn images_are_written_once_and_removed_only_where_they_were() {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", false);
+    t.worker("m-2", "a", false);
+    for n in 0..3 {
+        t.submit(spec(&format!("j-{n}"), 1));
+        t.round();
+        t.beat("m-1");
+        t.beat("m-1");
+        let written = t.images.remove(&MachineId("m-1".into()));
+        assert_eq!(
+            written.is_some(),
+            n == 0,
+            "the same image is not written again"
+        );
+        let worker = t.workers.get_mut("m-1").expect("a worker");
+        worker.exit_all(ExitCause::Done);
+        t.beat("m-1");
+        t.beat("m-1");
+    }
+    for (machine, removed) in [("m-2", false), ("m-1", true)] {
+        t.s.returned(&[MachineId(machine.into())], t.now);
+        let batch = t.s.next_batch(20, 36_000, false);
+        let is_removal = matches!(&batch[..], [Write::Images { images: None, .. }]);
+        assert_eq!(is_removal, removed, "{machine}: {batch:?}");
+    }
+}
