--- a/src/cancellations.rs
+++ b/src/cancellations.rs
@@ -7,12 +7,11 @@
 use crate::clock::sleep;
 use crate::cloud::MAX_RETURN;
 use crate::controller::Node;
-use crate::http::within;
+use crate::http::{side_by_side, within};
 use crate::peer::Request;
 use crate::scheduler::{Final, JobId, MachineId, Report, TaskId, TaskState};
 use crate::units::Micros;
 use bitcode::{Decode, Encode};
-use futures_lite::future;
 use log::{debug, info};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -296,27 +295,6 @@
     answered
 }
 
-/// Runs these side by side until all are over.
-async fn side_by_side<T, F: Future<Output = T>>(work: Vec<F>) -> Vec<T> {
-    let mut open: Vec<_> = work.into_iter().map(|w| (Box::pin(w), None)).collect();
-    future::poll_fn(|cx| {
-        for (work, done) in open.iter_mut().filter(|(_, done)| done.is_none()) {
-            if let std::task::Poll::Ready(value) = work.as_mut().poll(cx) {
-                *done = Some(value);
-            }
-        }
-        if open.iter().any(|(_, done)| done.is_none()) {
-            return std::task::Poll::Pending;
-        }
-        std::task::Poll::Ready(
-            open.iter_mut()
-                .filter_map(|(_, done)| done.take())
-                .collect(),
-        )
-    })
-    .await
-}
-
 /// The duty that returns machines on which cancelled tasks may be left, where nobody who leads can be asked to.
 ///
 /// Guards against cancellations whose leader ended, or is cut off from all others, while the state service lets nobody
--- /dev/null
+++ b/src/config/tests.rs
@@ -0,0 +1,91 @@
+use super::*;
+
+const PLATFORM: &str = r#"
+    node = "n-0"
+    zone = "a"
+    bind = "127.0.0.1:8080"
+    internal_addr = "127.0.0.1:8081"
+    surprise = true
+    [external]
+    cloud = "127.0.0.1:8443"
+    state = "127.0.0.1:2379"
+    [facts]
+    size = 3
+    [[facts.objectives]]
+    kind = "wait"
+    class = "live"
+    within_s = 12.0
+    [[facts.objectives]]
+    kind = "wait"
+    class = "live"
+    within_s = 60.0
+    [facts.workers]
+    report_s = 3.0
+    lease_s = 36.0
+    cancel_s = 66.0
+    [facts.state]
+    rps = 250.0
+    write_rps = 100.0
+    value_kb = 8.0
+    txn_ops = 32
+    [facts.cloud]
+    rps = 10.0
+    list_lag_s = 6.0
+    [facts.machine_limits]
+    core_share = 0.12
+    ram_mb = 200.0
+    max_sockets = 3500
+"#;
+
+#[test]
+fn platform_settings_are_read_and_unknown_fields_ignored() {
+    let p = Platform::parse(PLATFORM).expect("fine settings");
+    let knobs = Settings::default().knobs(&p);
+    assert_eq!(knobs.wait_within["live"], Micros::secs(12));
+    assert!(Settings::default().admission_cap(&p) > 1_000);
+}
+
+#[test]
+fn senseless_platform_settings_are_refused_with_the_field() {
+    for (from, to, field) in [
+        ("report_s = 3.0", "report_s = 0.0", "facts.workers.report_s"),
+        ("rps = 10.0", "rps = -1.0", "facts.cloud.rps"),
+        ("txn_ops = 32", "txn_ops = 1", "facts.state.txn_ops"),
+        ("node = \"n-0\"", "node = \"\"", "node"),
+    ] {
+        let error = Platform::parse(&PLATFORM.replace(from, to)).expect_err(to);
+        assert_eq!(error.0, field);
+    }
+    let error = Platform::parse(&PLATFORM.replace("lease_s = 36.0", "")).expect_err("missing");
+    assert!(error.1.contains("lease_s"), "{error:?}");
+}
+
+#[test]
+fn the_example_of_the_operators_settings_is_fine_and_names_every_element() {
+    let text = include_str!("../../deploy/ravenhead.xml");
+    let settings = Settings::parse(text).expect("a fine example");
+    assert_eq!(settings.retry_ms, Some(400));
+    assert_eq!(settings.leader_lease_ms, Some(2_000));
+    for (name, _, _) in RANGES {
+        assert!(text.contains(&format!("<{name}>")), "{name} is missing");
+    }
+}
+
+#[test]
+fn bad_operators_settings_are_refused_with_the_element() {
+    for (body, element) in [
+        ("<retry-ms>soon</retry-ms>", "retry-ms"),
+        ("<retry-ms>1</retry-ms>", "retry-ms"),
+        ("<reserve>-1</reserve>", "reserve"),
+        ("<colour>3</colour>", "colour"),
+        ("<idle-s>3</idle-s><idle-s>4</idle-s>", "idle-s"),
+        ("<idle-s/>", "idle-s"),
+        ("stray", "document"),
+    ] {
+        let text = format!("<ravenhead>{body}</ravenhead>");
+        assert_eq!(Settings::parse(&text).expect_err(body).0, element);
+    }
+    assert!(Settings::parse("<other/>").is_err());
+    assert!(Settings::parse("").is_err());
+    assert_eq!(Settings::parse("<ravenhead/>"), Ok(Settings::default()));
+}
--- /dev/null
+++ b/src/controller/tests.rs
@@ -0,0 +1,194 @@
+use super::*;
+use http_types::Method;
+
+/// The second of five controllers in zones a, b, a, b, c.
+fn node(lease_s: f64) -> Node {
+    let member = |i: usize, zone: &str| {
+        format!(
+            "[[members]]\nnode = \"n-{i}\"\nzone = \"{zone}\"\naddress = \"127.0.0.1:{}\"\n",
+            9000 + i
+        )
+    };
+    let members = [(0, "a"), (2, "a"), (3, "b"), (4, "c")].map(|(i, z)| member(i, z));
+    let text = format!(
+        "node = \"n-1\"\nzone = \"b\"\nbind = \"127.0.0.1:1\"\ninternal_addr = \"127.0.0.1:2\"\n{}\
+         [external]\ncloud = \"127.0.0.1:3\"\nstate = \"127.0.0.1:4\"\n[facts]\nsize = 5\n\
+         [facts.workers]\nreport_s = 2.0\nlease_s = {lease_s:.1}\ncancel_s = 44.0\n\
+         [facts.state]\nrps = 70.0\nwrite_rps = 25.0\nvalue_kb = 8.0\ntxn_ops = 20\n\
+         [facts.cloud]\nrps = 3.0\nlist_lag_s = 10.0\n\
+         [facts.machine_limits]\ncore_share = 0.12\nram_mb = 72.0\nmax_sockets = 1500\n",
+        members.concat()
+    );
+    Node::new(
+        Platform::parse(&text).expect("fine settings"),
+        Settings::default(),
+    )
+}
+
+fn answer_all(node: &Node) {
+    for i in [0, 2, 3, 4] {
+        node.note_word(&format!("n-{i}"), Knowledge::default());
+    }
+}
+
+// Guards against workers that stay with a controller which reaches nobody, while others would serve them; and
+// against the attempt costing them their lease where they reach no other.
+#[test]
+fn a_controller_that_is_alone_hands_its_workers_on_within_their_lease() {
+    let n = node(14.0);
+    let m = MachineId("m-1".into());
+    assert!(!n.is_alone(), "it heard from the state service just now");
+    n.store.forget_answers();
+    assert!(n.is_alone() && !n.is_ready());
+    assert_eq!(
+        n.hand_off(&m, "b"),
+        None,
+        "its lease may be nearly over: it is answered first"
+    );
+    n.note_heard(m.clone());
+    // One silent controller costs five seconds of fourteen: only the one right before this is safe.
+    assert_eq!(n.hand_off(&m, "b"), Some("n-0".into()));
+    n.note_heard(m.clone());
+    assert_eq!(n.hand_off(&m, "b"), None, "back again, it is left in peace");
+    answer_all(&n);
+    assert!(!n.is_alone());
+    // A longer lease bears more tries, a lease that bears none is not risked.
+    let far = node(36.0);
+    far.store.forget_answers();
+    assert_eq!(far.place_before(1, Micros::secs(36)), Some("n-4".into()));
+    assert_eq!(far.place_before(3, Micros::secs(36)), Some("n-2".into()));
+    assert_eq!(far.place_before(0, Micros::secs(8)), None);
+}
+
+// Guards against workers waiting for the end of a filter between controllers that they are not behind.
+#[test]
+fn behind_a_filter_between_controllers_workers_are_sent_to_the_leader() {
+    let n = node(14.0);
+    let m = MachineId("m-1".into());
+    let lead = |node: &str| {
+        let record = serde_json::json!({"node": node, "incarnation": 1, "lease": 1});
+        let put = n.store.view.borrow_mut().put("r/leader", record, 7);
+        put.expect("a leader");
+    };
+    n.note_heard(m.clone());
+    lead("n-2");
+    answer_all(&n);
+    assert_eq!(
+        n.hand_off(&m, "b"),
+        None,
+        "a cut of zones may keep it from there"
+    );
+    assert_eq!(
+        n.hand_off(&m, "a"),
+        Some("n-2".into()),
+        "its own zone's leader it reaches"
+    );
+    let other = MachineId("m-2".into());
+    n.note_heard(other.clone());
+    n.words.borrow_mut().remove("n-3");
+    assert_eq!(
+        n.hand_off(&other, "b"),
+        Some("n-2".into()),
+        "not even this zone's reach each other"
+    );
+}
+
+fn checkin(node: &Rc<Node>, seq: u64, token: u64, jobs: &[&str]) -> (u16, serde_json::Value) {
+    let tasks = jobs
+        .iter()
+        .map(|job| serde_json::json!({"take": format!("{job}/0"), "try": 2, "status": "running"}));
+    let body = serde_json::json!({"host": "m-1", "endpoint": "e", "rig": "rig", "yard": "b", "loaners": false,
+        "watch": 1, "tally": seq, "warrant": token, "takes": tasks.collect::<Vec<_>>()});
+    let call = Call {
+        method: Method::Post,
+        path: "/checkin".into(),
+        query: String::new(),
+        body: body.to_string().into(),
+    };
+    let reply = async_io::block_on(route(node.clone(), call));
+    let body = serde_json::from_slice(&reply.body).expect("JSON");
+    (reply.status, body)
+}
+
+fn hear_of_cancellation(node: &Rc<Node>, job: &str) {
+    let ping = Frame {
+        known: Knowledge::default(),
+        message: Request::Ping {
+            cancelled: vec![Cancellation {
+                job: JobId(job.into()),
+                at: 1,
+                machines: Vec::new(),
+            }],
+            gone: Vec::new(),
+        },
+    };
+    async_io::block_on(hear_peer(node.clone(), ping));
+}
+
+fn stop_of(job: &str) -> serde_json::Value {
+    serde_json::json!([{"verb": "stop", "take": format!("{job}/0"), "try": 2, "slackS": 0.0}])
+}
+
+// Guards against cancelled tasks that run on for as long as the leader can't be asked.
+#[test]
+fn cancelled_tasks_are_stopped_by_whom_their_worker_reaches() {
+    let n = Rc::new(node(14.0));
+    answer_all(&n);
+    let lead = serde_json::json!({"node": "n-2", "incarnation": 1, "lease": 1});
+    let put = n.store.view.borrow_mut().put("r/leader", lead, 7);
+    put.expect("a leader");
+    hear_of_cancellation(&n, "j-1");
+    let (status, answer) = checkin(&n, 1, 7, &["j-1", "j-2"]);
+    assert_eq!((status, &answer["warrant"]), (200, &serde_json::json!(7)));
+    assert_eq!(answer["orders"], stop_of("j-1"));
+    // Told by the view alone it is the same, and the other job is nobody's to stop.
+    let end = serde_json::json!({"how": "aborted", "at": 1, "done": 0});
+    let put = n.store.view.borrow_mut().put("r/end/j-1", end, 8);
+    put.expect("an end");
+    assert_eq!(
+        checkin(&n, 2, 7, &["j-2", "j-1"]).1["orders"],
+        stop_of("j-1")
+    );
+    assert_eq!(
+        checkin(&n, 3, 7, &["j-2"]).1["orders"],
+        serde_json::json!([])
+    );
+}
+
+// Guards against a cancellation that the leader never hears of, as the state service refused everybody right after
+// it was committed, and against a leader that keeps its workers while another leads.
+#[test]
+fn a_leader_without_a_lease_stops_what_is_cancelled_and_alone_hands_its_workers_on() {
+    let n = Rc::new(node(14.0));
+    answer_all(&n);
+    let over = election::Leadership::new(7, 1, Micros::ZERO);
+    let leading = Rc::new(Leading::new(&n, over));
+    *n.leading.borrow_mut() = Some(leading.clone());
+    hear_of_cancellation(&n, "j-1");
+    let (_, answer) = checkin(&n, 1, 7, &["j-1", "j-2"]);
+    assert_eq!(answer["orders"], stop_of("j-1"));
+    n.store.forget_answers();
+    assert_eq!(checkin(&n, 2, 7, &["j-2"]).0, 200, "an outage for all");
+    n.words.borrow_mut().clear();
+    assert!(n.is_alone());
+    assert_eq!(checkin(&n, 3, 7, &["j-2"]).0, 200, "its lease goes first");
+    let (status, answer) = checkin(&n, 4, 7, &["j-2"]);
+    assert_eq!((status, answer["muster"].as_str()), (421, Some("n-0")));
+}
+
+// Guards against users' connections keeping out the workers of a fleet that all come to one controller.
+#[test]
+fn where_sockets_are_short_connections_of_users_end_with_each_answer() {
+    let node = Rc::new(node(14.0));
+    let call = |method, path: &str| Call {
+        method,
+        path: path.into(),
+        query: String::new(),
+        body: Vec::new(),
+    };
+    let closes = |call| async_io::block_on(route(node.clone(), call)).close;
+    assert!(!closes(call(Method::Get, "/ready")));
+    node.connections.set(node.sockets_for_others());
+    assert!(closes(call(Method::Get, "/ready")));
+    assert!(!closes(call(Method::Post, "/checkin")));
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -3,7 +3,7 @@
 use crate::clock::{Clock, sleep};
 use crate::net::Stream;
 use crate::units::Micros;
-use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt, io};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt, future, io};
 use http_types::headers::{CONNECTION, CONTENT_TYPE};
 use http_types::{Method, Request, Response, StatusCode, Url};
 use serde::Serialize;
@@ -52,6 +52,27 @@
         .await
 }
 
+/// Runs all of these side by side; what they bring, in their order.
+pub async fn side_by_side<T>(work: Vec<impl Future<Output = T>>) -> Vec<T> {
+    let mut open: Vec<_> = work.into_iter().map(|w| (Box::pin(w), None)).collect();
+    future::poll_fn(|cx| {
+        for (work, brought) in open.iter_mut().filter(|(_, brought)| brought.is_none()) {
+            if let Poll::Ready(value) = work.as_mut().poll(cx) {
+                *brought = Some(value);
+            }
+        }
+        if open.iter().any(|(_, brought)| brought.is_none()) {
+            return Poll::Pending;
+        }
+        Poll::Ready(
+            open.iter_mut()
+                .filter_map(|(_, brought)| brought.take())
+                .collect(),
+        )
+    })
+    .await
+}
+
 /// An HTTP client for one address; connections are kept and used again.
 pub struct Client {
     addr: SocketAddr,
@@ -348,42 +369,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::net::Listener;
-    use futures_lite::future;
-    use std::time::Duration;
-
-    // Guards against answers from before a standstill: another controller may have told something newer meanwhile.
-    #[test]
-    fn an_answer_that_nobody_waits_for_any_more_is_not_sent() {
-        async_io::block_on(async {
-            let listener = Listener::bind("127.0.0.1:0".parse().unwrap())
-                .await
-                .unwrap();
-            let client = Client::new(listener.local_addr().unwrap());
-            let slept = std::cell::Cell::new(false);
-            let server = async {
-                for _ in 0..2 {
-                    let stream = listener.accept().await.unwrap();
-                    let handle = |_: Call| async {
-                        if !slept.replace(true) {
-                            std::thread::sleep(Duration::from(ANSWER_WITHIN + Micros::millis(1)));
-                        }
-                        Reply {
-                            close: true,
-                            ..Reply::error(200, "fine")
-                        }
-                    };
-                    serve(stream, || Micros::secs(60), handle).await;
-                }
-            };
-            let asking = async {
-                let ask = || client.call(Method::Get, "/ready", None, Micros::secs(30));
-                assert!(matches!(ask().await, Err(HttpError::NoAnswer(_))));
-                assert_eq!(ask().await.expect("an answer").0, 200);
-            };
-            future::zip(server, asking).await;
-        });
-    }
-}
+mod tests;
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -4,7 +4,7 @@
 use crate::cloud::{CloudError, MAX_RENT, MAX_RETURN, Rental};
 use crate::controller::Node;
 use crate::election::{self, Leadership};
-use crate::http::within;
+use crate::http::{side_by_side, within};
 use crate::scheduler::{End, Final, Flavor, JobId, MachineId, Scheduler, Want, Write};
 use crate::state::{Change, Condition, Outcome, StateError, Urgency};
 use crate::store::{
@@ -17,8 +17,6 @@
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::future::Future;
-use std::task::Poll;
 
 /// Most time between two rounds.
 const ROUND_EVERY: Micros = Micros::millis(200);
@@ -585,7 +583,7 @@
         let mut scheduler = leading.scheduler.borrow_mut();
         scheduler.rent_done(want, &machines, now);
     });
-    all(asked.collect()).await;
+    side_by_side(asked.collect()).await;
     let names = requests.iter().map(|(_, rental)| &rental.charter);
     let answered = names.filter_map(|n| leading.rentals.borrow().get(n).cloned());
     let answered: Vec<RentalRecord> = answered.collect();
@@ -594,20 +592,6 @@
     }
 }
 
-/// Runs all of these side by side.
-async fn all<F: Future<Output = ()>>(work: Vec<F>) {
-    let mut open: Vec<_> = work.into_iter().map(Box::pin).collect();
-    future::poll_fn(|cx| {
-        open.retain_mut(|one| one.as_mut().poll(cx).is_pending());
-        if open.is_empty() {
-            Poll::Ready(())
-        } else {
-            Poll::Pending
-        }
-    })
-    .await;
-}
-
 /// A want in parts that one request may ask for.
 fn split_want(want: &Want) -> Vec<Want> {
     let part = |count| Want {
--- /dev/null
+++ b/src/store/tests.rs
@@ -0,0 +1,61 @@
+use super::*;
+use serde_json::json;
+
+fn id(text: &str) -> JobId {
+    JobId::parse(text).expect("an id")
+}
+
+fn job(text: &str) -> Value {
+    json!({"at": 1, "spec": {"nameId": text, "lane": "x", "crew": "t", "shape": "sweep", "rank": "low",
+        "takes": 3, "cores": 1.0, "cards": 0.0, "ramGb": 1.0, "reel": "i", "pullGb": 1.0, "rigs": null,
+        "yard": null, "together": false, "spread": false, "loaners": false, "expectS": 1.0, "markS": 0.0,
+        "stowS": 0.0, "dueS": null}})
+}
+
+#[test]
+fn a_job_is_pending_then_running_then_done_for_ever() {
+    let mut view = View::default();
+    assert_eq!(view.status(&id("j-1")), None);
+    view.put("r/job/j-1", job("j-1"), 5).expect("a job");
+    assert_eq!(view.status(&id("j-1")).map(|s| s.status), Some("pending"));
+    let chunk = json!({"f": "1", "a": 2, "l": [[1, "m-1", 2]]});
+    view.put("r/run/j-1/00000", chunk, 6).expect("a chunk");
+    let status = view.status(&id("j-1")).expect("known");
+    assert_eq!(
+        (status.status, status.done, status.running),
+        ("running", 1, 1)
+    );
+    view.put("r/end/j-1", json!({"how": "done", "at": 9, "done": 3}), 7)
+        .expect("an end");
+    view.delete("r/run/j-1/00000", 8);
+    view.delete("r/job/j-1", 8);
+    let status = view.status(&id("j-1")).expect("known for ever");
+    assert_eq!((status.status, status.done), ("done", 3));
+    assert!(view.runs.is_empty() && view.jobs.is_empty());
+}
+
+// Guards against a watch that begins before a list: its older removals must not undo newer writes.
+#[test]
+fn an_old_removal_does_not_undo_a_newer_write() {
+    let mut view = View::default();
+    let leader = json!({"node": "n-1", "incarnation": 4, "lease": 3});
+    view.put(LEADER, leader, 12).expect("a leader");
+    view.delete(LEADER, 9);
+    assert_eq!(view.leader.as_ref().map(|l| l.version), Some(12));
+    view.delete(LEADER, 13);
+    assert!(view.leader.is_none());
+}
+
+#[test]
+fn odd_keys_and_values_are_refused_without_harm() {
+    let mut view = View::default();
+    assert!(view.put("q/other", json!(1), 1).is_err());
+    assert!(view.put("r/job/../x", json!(1), 1).is_err());
+    assert!(view.put("r/job/j-1", json!({"spec": 3}), 1).is_err());
+    assert!(
+        view.put("r/run/j-1/00000", json!({"f": "zz", "a": 1}), 1)
+            .is_err()
+    );
+    view.delete("r/run/j-1", 3);
+    assert!(!view.knows(&id("j-1")));
+}
