--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -53,8 +53,10 @@
 pub(super) struct Fleet {
     /// Whether the machine list was read in this term.
     listed: bool,
-    /// When there was work that can't wait for a boot.
-    brisk_at: Option<Micros>,
+    /// When there was work that can't wait for a boot and may use spot machines.
+    brisk_spot_at: Option<Micros>,
+    /// When there was work that can't wait for a boot and may not use them.
+    brisk_ordinary_at: Option<Micros>,
     /// Processors that brisk work asked for at recent times, running and waiting.
     brisk_asked: VecDeque<(Micros, i64)>,
     /// Asked for, not answered.
@@ -306,8 +308,10 @@
                 idle.push(id.clone());
             } else if stale {
                 let places = reserve.map_or(0, |(s, _)| self.places_on(m, s));
-                if places <= spare {
-                    spare -= places;
+                // Ordinary machines are not kept for what spot ones may serve.
+                let too_expensive = !m.spot && reserve.is_some_and(|(s, _)| s.spot);
+                if places <= spare || too_expensive {
+                    spare = spare.saturating_sub(places);
                     idle.push(id.clone());
                 }
             }
@@ -323,10 +327,17 @@
 
     /// How long an empty machine is kept: a while that is short against booting another, or as long as that takes while
     /// there is brisk work, for which another would come too late.
+    ///
+    /// Guards against ordinary machines, at about three times the price, that are kept for work that spot ones may serve.
     fn idle_limit(&self, m: &Machine) -> Micros {
         let boot = self.flavors.get(&m.rig).map_or(Micros::ZERO, Flavor::boot);
         let lately = |at: Micros| self.latest.since(at) < ARRIVALS_OVER;
-        let brisk = self.fleet.brisk_at.is_some_and(lately);
+        let brisk_at = if m.spot {
+            self.fleet.brisk_spot_at
+        } else {
+            self.fleet.brisk_ordinary_at
+        };
+        let brisk = brisk_at.is_some_and(lately);
         self.knobs
             .idle
             .unwrap_or(boot.scaled(if brisk { 8 } else { 1 }, 8))
@@ -350,14 +361,20 @@
 
     /// Notes the brisk work that is there.
     fn look_for_brisk(&mut self, now: Micros) {
+        let mut asked = 0;
+        let (mut any_spot, mut any_ordinary) = (false, false);
         let open = self.jobs.values().filter(|j| !j.ending);
-        let asked = open.filter(|j| self.is_brisk(&j.spec)).map(|j| {
-            let left = (j.spec.tasks - j.done) as usize;
-            j.spec.need().times(left).cores
-        });
-        let asked: i64 = asked.sum();
-        if asked > 0 {
-            self.fleet.brisk_at = Some(now);
+        for job in open.filter(|j| self.is_brisk(&j.spec)) {
+            let left = (job.spec.tasks - job.done) as usize;
+            asked += job.spec.need().times(left).cores;
+            any_spot |= job.spec.spot;
+            any_ordinary |= !job.spec.spot || job.lost_on_spot;
+        }
+        if any_spot {
+            self.fleet.brisk_spot_at = Some(now);
+        }
+        if any_ordinary {
+            self.fleet.brisk_ordinary_at = Some(now);
         }
         let samples = &mut self.fleet.brisk_asked;
         if samples
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -2,7 +2,8 @@
 
 use super::*;
 
-/// What a stopped task needs until it runs again elsewhere.
+/// What a stopped task needs until it runs again elsewhere. An array's task that ran for less is not stopped for an array
+/// of a higher priority: the restart would cost more than it achieved.
 const RESTART: Micros = Micros::secs(45);
 /// Stops ordered for one job in one round.
 const STOPS_PER_ROUND: usize = 16;
@@ -216,6 +217,12 @@
             return None;
         }
         let ran = p.running_since.map_or(Micros::ZERO, |t| now.since(t));
+        // An array's task that was stopped and started again is the one that loses least: urgent arrays that come all the
+        // time would stop it again and again, and it would never end.
+        let both_arrays = by.spec.shape == Shape::Array && job.spec.shape == Shape::Array;
+        if both_arrays && !lent && ran < RESTART {
+            return None;
+        }
         let save = Micros::from_secs_f64(job.spec.save_slack());
         let lost = if save > Micros::ZERO {
             save.min(ran)
--- a/src/scheduler/stories/brisk.rs
+++ b/src/scheduler/stories/brisk.rs
@@ -64,10 +64,49 @@
     assert_eq!(names, ["j-3/0"]);
 }
 
-/// Seconds for which an empty machine is kept after such a job.
-fn kept_after(job: JobSpec) -> u64 {
+// Guards against a task of normal priority that urgent arrays stop every time it has just begun: it loses least, and so it
+// would be stopped for each of them and never end.
+#[test]
+fn an_array_is_not_stopped_for_a_higher_one_before_it_ran_for_a_while() {
     let mut t = Story::new(0.0);
+    t.s.knobs.wait_within.insert("fast".into(), Micros::secs(8));
+    let whole_machine = JobSpec {
+        cores: 16.0,
+        cards: 0.0,
+        ..spec("j-1", 1)
+    };
     t.worker("m-1", "a", false);
+    t.submit(whole_machine);
+    t.round();
+    t.beat("m-1");
+    t.beat("m-1");
+    assert_eq!(t.running(), 1);
+    t.submit(JobSpec {
+        class: "fast".into(),
+        cards: 0.0,
+        ..brisk("j-2", 1)
+    });
+    let mut ran = 0;
+    let stops = loop {
+        t.round();
+        let stops = t.ask("m-1");
+        if !stops.is_empty() || ran > 60 {
+            break stops;
+        }
+        t.wait(1);
+        ran += 1;
+    };
+    assert!(
+        matches!(&stops[..], [Order::Stop { task, .. }] if task == "j-1/0"),
+        "{stops:?}"
+    );
+    assert_eq!(ran, 45);
+}
+
+/// Seconds for which an empty machine is kept after such a job.
+fn kept_after(job: JobSpec, on_spot: bool) -> u64 {
+    let mut t = Story::new(0.0);
+    t.worker("m-1", "a", on_spot);
     t.submit(job);
     t.s.plan_fleet(t.now, 1_000_000);
     t.round();
@@ -91,8 +130,25 @@
 // machines boot: each boot is paid for, and comes too late.
 #[test]
 fn machines_are_kept_as_long_as_a_boot_takes_for_work_that_cannot_wait_for_one() {
-    assert_eq!(kept_after(spec("j-1", 1)), 5);
-    assert_eq!(kept_after(brisk("j-1", 1)), 40);
+    assert_eq!(kept_after(spec("j-1", 1), false), 5);
+    assert_eq!(kept_after(spec("j-1", 1), true), 5);
+    for spot in [true, false] {
+        let job = JobSpec {
+            spot,
+            ..brisk("j-1", 1)
+        };
+        assert_eq!(kept_after(job, spot), 40);
+    }
+}
+
+// Guards against machines at three times the price that wait for work which cheaper ones may serve.
+#[test]
+fn ordinary_machines_are_not_kept_for_work_that_may_use_spot_machines() {
+    let job = JobSpec {
+        spot: true,
+        ..brisk("j-1", 1)
+    };
+    assert_eq!(kept_after(job, false), 5);
 }
 
 // Guards against the finishes of many short tasks using up the writes for which starts wait.
