A new leader drops what the list lacks; a transaction is sent again by what answers take

Mended: what the list lacks though it is older than any list's lag is gone; a story. Cause 2: the wait before a transaction is sent again was 0.4 s whatever answers took, so that a slow state service got a copy of everything. It now follows the answers, smoothed as TCP does; a test.

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -251,7 +251,10 @@
             // A list may be older than the one before it, by twice the lag at most: only what is older than that
             // can be missed for being gone.
             let old = now.since(m.since) > lag.scaled(3, 1) + Micros::secs(1);
-            if m.listed_at.is_some() && old && !listed.contains(id) {
+            // Guards against a new leader that counts on what the one before rented and gave back, and takes these machines
+            // for late boots: those that are there are listed by now.
+            let never_came = m.newest.is_none() && !m.rented_now;
+            if (m.listed_at.is_some() || never_came) && old && !listed.contains(id) {
                 m.lost = true;
             }
         }
--- a/src/scheduler/stories/recovery.rs
+++ b/src/scheduler/stories/recovery.rs
@@ -182,6 +182,36 @@
     assert_eq!(rents(&mut t, 80), 1, "it is not there, or stuck");
 }
 
+// Guards against a new leader that takes what the one before gave back for boots that are late, as on the incident inc-f66a:
+// it then waits for other late machines of these zones, and rents elsewhere first.
+#[test]
+fn what_an_earlier_leader_rented_and_the_list_lacks_is_no_late_boot() {
+    let mut t = Story::new(0.0);
+    let pool = Pool {
+        rig: "rig".into(),
+        zone: "a".into(),
+        spot: true,
+    };
+    let noted: Vec<MachineId> = (0..4).map(|i| MachineId(format!("m-{i}"))).collect();
+    t.take_over(t.s.token() + 1);
+    t.s.inherit_rented(&pool, &noted, Micros::secs(69), t.now);
+    t.s.on_list(&[], t.now);
+    t.submit(spec("j-1", 2));
+    let mut rented = 0;
+    for _ in 0..24 {
+        t.wait(1);
+        rented += t.s.plan_fleet(t.now, 0).rent.len();
+    }
+    assert!(rented > 0, "nothing comes");
+    assert_eq!(t.s.machines.values().filter(|m| !m.lost).count(), 0);
+    let (notes, _) = t.s.take_notes();
+    assert!(
+        notes.iter().any(|n| n.contains("why=lost")),
+        "they are dropped: {notes:?}"
+    );
+    assert!(!notes.iter().any(|n| n.contains("boots_slow")), "{notes:?}");
+}
+
 // Guards against a job said to be done too early, or run again, because its tasks end under one leader each.
 #[test]
 fn tasks_that_end_far_apart_over_changes_of_leader_are_done_once_all_are() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -13,8 +13,8 @@
 
 /// How long a request may take before its outcome counts as unknown.
 const CALL_WITHIN: Micros = Micros::millis(1_500);
-/// A transaction without an answer is sent again after this; answers normally take a few milliseconds.
-const AGAIN_AFTER: Micros = Micros::millis(400);
+/// A transaction without an answer is sent again after this at the least; answers normally take a few milliseconds.
+const LEAST_RETRANSMIT: Micros = Micros::millis(400);
 /// How long a watch may take beyond the time it asked for.
 const WATCH_MARGIN: Micros = Micros::secs(2);
 
@@ -201,6 +201,35 @@
     }
 }
 
+/// How long answers take of late, smoothed as TCP smooths its round-trip time, and when to give up waiting for one.
+///
+/// Guards against a slow service that is asked everything twice: its answers would take longer still, and the budget of
+/// requests and changes would be used up by copies.
+#[derive(Debug, Default)]
+pub struct ResponseTime {
+    smoothed: Micros,
+    variation: Micros,
+}
+
+impl ResponseTime {
+    /// An answer came after this time.
+    pub fn observe(&mut self, took: Micros) {
+        if self.smoothed == Micros::ZERO {
+            self.smoothed = took;
+            self.variation = took.scaled(1, 2);
+            return;
+        }
+        let difference = took.since(self.smoothed).max(self.smoothed.since(took));
+        self.variation = self.variation.scaled(3, 4) + difference.scaled(1, 4);
+        self.smoothed = self.smoothed.scaled(7, 8) + took.scaled(1, 8);
+    }
+
+    /// How long to wait for an answer before a transaction is sent again.
+    pub fn retransmit_after(&self) -> Micros {
+        (self.smoothed + self.variation.scaled(4, 1)).max(LEAST_RETRANSMIT)
+    }
+}
+
 /// The state service as one controller sees it.
 pub struct State {
     client: Client,
@@ -208,6 +237,7 @@
     watcher: Client,
     requests: RefCell<Bucket>,
     writes: RefCell<Bucket>,
+    response_time: RefCell<ResponseTime>,
 }
 
 impl State {
@@ -218,6 +248,7 @@
             watcher: Client::new(addr),
             requests: RefCell::new(Bucket::new(rps)),
             writes: RefCell::new(Bucket::new(write_rps)),
+            response_time: RefCell::default(),
         }
     }
 
@@ -251,8 +282,13 @@
         path: &str,
         body: Option<Vec<u8>>,
     ) -> Result<(u16, Vec<u8>), StateError> {
+        let began = Clock.now();
         match self.client.call(method, path, body, CALL_WITHIN).await {
-            Ok((status, bytes)) => sort_status(status, bytes),
+            Ok((status, bytes)) => {
+                let took = Clock.now().since(began);
+                self.response_time.borrow_mut().observe(took);
+                sort_status(status, bytes)
+            }
             Err(e) => {
                 self.client.forget_idle();
                 Err(no_answer(e))
@@ -291,7 +327,8 @@
         let again = Cell::new(false);
         let first = Box::pin(self.txn(Urgency::Now, when, writes));
         let second = Box::pin(async {
-            sleep(AGAIN_AFTER).await;
+            let wait = self.response_time.borrow().retransmit_after();
+            sleep(wait).await;
             again.set(true);
             self.txn(Urgency::Now, when, writes).await
         });
@@ -410,3 +447,6 @@
     let text: String = String::from_utf8_lossy(bytes).chars().take(200).collect();
     StateError::Malformed(format!("status {status} {text}"))
 }
+
+#[cfg(test)]
+mod tests;
