The full-restart test listens on loopback addresses of its own

One run in about twenty failed: a controller could not listen again, as a worker's new connection had taken its port.

--- a/tests/full_restart.rs
+++ b/tests/full_restart.rs
@@ -17,6 +17,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 use support::keys::{self, Keys};
 
@@ -116,9 +117,16 @@
     }
 }
 
+/// A listener on a loopback address of its own.
+///
+/// Guards against a controller that can't listen again, as a connection that was opened meanwhile has its port: those begin at
+/// 127.0.0.1.
 async fn listen() -> (Listener, SocketAddr) {
-    let any = "127.0.0.1:0".parse().expect("an address");
-    let listener = Listener::bind(any).await.expect("a listener");
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let next = NEXT.fetch_add(1, Ordering::Relaxed) + (std::process::id() << 8);
+    let [_, a, b, c] = next.to_be_bytes();
+    let own = SocketAddr::from(([127, a | 1, b, c], 0));
+    let listener = Listener::bind(own).await.expect("a listener");
     let addr = listener.local_addr().expect("its address");
     (listener, addr)
 }
