The leader's batches and rentals are modules of their own; due jobs are sorted once

A round sorted the due jobs and then sorted them again with those that wait for room; the first is left out.

--- a/src/leader.rs
+++ b/src/leader.rs
@@ -1,26 +1,29 @@
 //! What the leading controller does: rounds of offers and writes, and the fleet.
 
+mod batches;
+mod rentals;
+
 use crate::clock::sleep;
-use crate::cloud::{CloudError, MAX_RENT, MAX_RETURN, Rental};
+use crate::cloud::MAX_RETURN;
 use crate::controller::Node;
 use crate::election::{self, Leadership};
-use crate::http::{side_by_side, within};
-use crate::scheduler::{
-    End, Final, JobId, MachineId, MachineType, RentalRequest, Scheduler, Write,
-};
-use crate::state::{Change, Condition, Outcome, StateError, Urgency};
-use crate::store::{
-    LEADER, MACHINE_TYPES, RentalRecord, View, ViewChange, chunk_key, end_key, images_key, job_key,
-    rental_key,
-};
+use crate::http::within;
+use crate::scheduler::{JobId, MachineId, MachineType, Scheduler};
+use crate::state::{Change, Condition, Urgency};
+use crate::store::{LEADER, MACHINE_TYPES, RentalRecord, View, ViewChange};
 use crate::units::Micros;
 use event_listener::Event;
 use futures_lite::{FutureExt, future};
-use log::{debug, info, warn};
+use log::{debug, info};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 
+use batches::write_batch;
+use rentals::{finish_rentals, rent};
+
+/// Pause before a transaction is sent again.
+const RETRY_PAUSE: Micros = Micros::millis(120);
 /// Most time between two rounds.
 const ROUND_EVERY: Micros = Micros::millis(200);
 /// How long a round waits for more reports to come in.
@@ -29,20 +32,12 @@
 const ROUND_WITHIN: Micros = Micros::millis(700);
 /// Batches written in one round.
 const BATCHES_PER_ROUND: usize = 4;
-/// Pause before a transaction is sent again.
-const RETRY_PAUSE: Micros = Micros::millis(120);
 /// Room left in a transaction of 64 KiB for its conditions.
 const BATCH_BYTES: usize = 36 * 1024;
 /// How often the fleet is looked at.
 const FLEET_EVERY: Micros = Micros::millis(500);
 /// How often the machine types are read.
 const MACHINE_TYPES_EVERY: Micros = Micros::secs(30);
-/// Tries of one rental request.
-const RENT_TRIES: usize = 3;
-/// Tries of noting rentals, which share the writes with everything else.
-const NOTE_TRIES: usize = 8;
-/// A rental is remembered at least so long for the next leader.
-const RENTAL_KEPT: Micros = Micros::secs(90);
 
 /// A term of leading.
 pub struct Leading {
@@ -228,199 +223,6 @@
     }
 }
 
-/// Writes a batch until its outcome is certain; an error says why the term is over.
-async fn write_batch(node: &Node, leading: &Leading, batch: &[Write]) -> Result<(), &'static str> {
-    let at = node.clock.unix_time();
-    let (when, changes) = transaction(leading, batch, at);
-    let mut unsure = false;
-    loop {
-        let (outcome, again) = node.state.txn_twice(&when, &changes).await;
-        unsure |= again;
-        match outcome {
-            Ok(Outcome::Applied(revision)) => {
-                node.store.note_answer();
-                applied(leading, batch, revision);
-                return Ok(());
-            }
-            Ok(Outcome::Conflict(failed)) => {
-                node.store.note_answer();
-                return settle(node, leading, batch, &failed, unsure, at).await;
-            }
-            Err(StateError::Refused(e)) => debug!("event=write_refused error={e:?}"),
-            Err(e @ (StateError::Malformed(_) | StateError::NoLease | StateError::TooOld)) => {
-                warn!("event=write_failed error={:?}", e.to_string());
-                return Err("a write was found senseless");
-            }
-            Err(StateError::Unknown(e)) => {
-                debug!("event=write_unanswered error={e:?}");
-                unsure = true;
-            }
-        }
-        sleep(RETRY_PAUSE).await;
-    }
-}
-
-/// A batch was applied at this revision.
-fn applied(leading: &Leading, batch: &[Write], revision: u64) {
-    let mut scheduler = leading.scheduler.borrow_mut();
-    scheduler.batch_applied(batch, revision);
-    for write in batch {
-        if let Write::Done { job, tasks } | Write::Whole { job, tasks, .. } = write {
-            info!("event=job_done job={job} tasks={tasks}");
-        }
-    }
-}
-
-/// The conditions and changes of a batch.
-fn transaction(leading: &Leading, batch: &[Write], at: u64) -> (Vec<Condition>, Vec<Change>) {
-    let mut when = BTreeMap::new();
-    let leader = leading.leader_condition();
-    when.insert(leader.key, leader.version);
-    let mut changes = Vec::new();
-    let put = |key: String, value: serde_json::Value| Change::Put {
-        key,
-        value,
-        lease: None,
-    };
-    for write in batch {
-        match write {
-            Write::Chunk {
-                job,
-                chunk,
-                record,
-                version,
-                places,
-            } => {
-                let key = chunk_key(job, *chunk);
-                when.insert(key.clone(), *version);
-                if *places {
-                    when.insert(end_key(job), 0);
-                }
-                changes.push(put(key, json!(record)));
-            }
-            Write::Done { job, tasks } => {
-                when.insert(end_key(job), 0);
-                changes.push(put(end_key(job), json!(done_record(*tasks, at))));
-            }
-            Write::Whole {
-                job,
-                tasks,
-                version,
-            } => {
-                when.insert(end_key(job), 0);
-                changes.push(put(end_key(job), json!(done_record(*tasks, at))));
-                let key = chunk_key(job, 0);
-                when.insert(key.clone(), *version);
-                if *version > 0 {
-                    changes.push(Change::Delete { key });
-                }
-                changes.push(Change::Delete { key: job_key(job) });
-            }
-            Write::Images {
-                machine,
-                images: Some(images),
-            } => changes.push(put(images_key(machine), json!(images))),
-            Write::Images { machine, .. } => changes.push(Change::Delete {
-                key: images_key(machine),
-            }),
-            Write::Forget { job, chunks, whole } => {
-                for (chunk, version) in chunks {
-                    let key = chunk_key(job, *chunk);
-                    when.insert(key.clone(), *version);
-                    changes.push(Change::Delete { key });
-                }
-                if *whole {
-                    changes.push(Change::Delete { key: job_key(job) });
-                }
-            }
-        }
-    }
-    let when = when
-        .into_iter()
-        .map(|(key, version)| Condition { key, version })
-        .collect();
-    (when, changes)
-}
-
-fn done_record(tasks: u32, at: u64) -> End {
-    End {
-        how: Final::Done,
-        at,
-        done: tasks,
-    }
-}
-
-/// A batch met a conflict: the term is over, a job was over, or an earlier try had been applied after all.
-async fn settle(
-    node: &Node,
-    leading: &Leading,
-    batch: &[Write],
-    failed: &[String],
-    unsure: bool,
-    at: u64,
-) -> Result<(), &'static str> {
-    if failed.iter().any(|k| k == LEADER) {
-        return Err("the leader key is another's");
-    }
-    if unsure && let Some(revision) = applied_before(node, batch, at).await? {
-        applied(leading, batch, revision);
-        return Ok(());
-    }
-    let over: Vec<JobId> = batch
-        .iter()
-        .filter_map(Write::job)
-        .filter(|job| failed.contains(&end_key(job)))
-        .cloned()
-        .collect();
-    if over.is_empty() {
-        // Nobody else writes these keys under this token: the picture is wrong and is built anew.
-        warn!("event=unexpected_conflict keys={failed:?}");
-        return Err("an unexpected conflict");
-    }
-    let mut scheduler = leading.scheduler.borrow_mut();
-    scheduler.batch_dropped(batch);
-    for job in over {
-        scheduler.job_is_over(&job);
-    }
-    Ok(())
-}
-
-/// Whether a batch, of which a try went unanswered, was applied; and if so, at which revision.
-async fn applied_before(
-    node: &Node,
-    batch: &[Write],
-    at: u64,
-) -> Result<Option<u64>, &'static str> {
-    let Some(first) = batch.first() else {
-        return Ok(None);
-    };
-    let (key, expected) = match first {
-        Write::Chunk {
-            job, chunk, record, ..
-        } => (chunk_key(job, *chunk), Some(json!(record))),
-        Write::Done { job, tasks } | Write::Whole { job, tasks, .. } => {
-            (end_key(job), Some(json!(done_record(*tasks, at))))
-        }
-        Write::Images { machine, images } => {
-            (images_key(machine), images.as_ref().map(|i| json!(i)))
-        }
-        Write::Forget { job, chunks, .. } => match chunks.first() {
-            Some((chunk, _)) => (chunk_key(job, *chunk), None),
-            None => (job_key(job), None),
-        },
-    };
-    loop {
-        match node.state.get(Urgency::Now, &key).await {
-            Ok(Ok(item)) => return Ok((Some(item.value) == expected).then_some(item.version)),
-            Ok(Err(revision)) => return Ok(expected.is_none().then_some(revision)),
-            Err(StateError::Refused(_) | StateError::Unknown(_)) => {
-                sleep(RETRY_PAUSE).await;
-            }
-            Err(_) => return Err("a read was found senseless"),
-        }
-    }
-}
-
 /// The duty that reads the machine types and keeps them for controllers that can't.
 async fn machine_types(node: &Node, leading: &Leading) -> &'static str {
     loop {
@@ -541,182 +343,3 @@
         }
     }
 }
-
-/// Asks again for what an earlier leader asked for without noting the answer: the same request rents only once.
-async fn finish_rentals(node: &Node, leading: &Leading) {
-    let open: Vec<Rental> = leading
-        .rentals
-        .borrow()
-        .values()
-        .filter(|r| r.machines.is_none())
-        .map(|r| r.rental.clone())
-        .collect();
-    for rental in open {
-        send_rental(node, leading, &rental).await;
-    }
-}
-
-/// Rents what is wanted: all requests are written down in one transaction before any is sent, so that the next leader
-/// can ask for their answers, and go out side by side.
-async fn rent(node: &Node, leading: &Leading, requests: &[RentalRequest]) {
-    let forgotten = forget_rentals(node, leading);
-    let requests: Vec<(RentalRequest, Rental)> = requests
-        .iter()
-        .flat_map(split_request)
-        .take(node.platform.facts.state.txn_ops / 2)
-        .map(|request| {
-            let rental = name_rental(leading, &request);
-            (request, rental)
-        })
-        .collect();
-    if requests.is_empty() && forgotten.is_empty() {
-        return;
-    }
-    let at = node.clock.unix_time();
-    let open = requests.iter().map(|(_, rental)| RentalRecord {
-        rental: rental.clone(),
-        machines: None,
-        at,
-    });
-    if !note_rentals(node, leading, open.collect(), forgotten).await {
-        return;
-    }
-    for (request, _) in &requests {
-        leading.scheduler.borrow_mut().rent_started(request);
-    }
-    let asked = requests.iter().map(|(request, rental)| async move {
-        let machines = send_rental(node, leading, rental).await;
-        let now = node.clock.now();
-        let mut scheduler = leading.scheduler.borrow_mut();
-        scheduler.rent_done(request, &machines, now);
-    });
-    side_by_side(asked.collect()).await;
-    let names = requests.iter().map(|(_, rental)| &rental.request_name);
-    let answered = names.filter_map(|n| leading.rentals.borrow().get(n).cloned());
-    let answered: Vec<RentalRecord> = answered.collect();
-    if !answered.is_empty() {
-        note_rentals(node, leading, answered, Vec::new()).await;
-    }
-}
-
-/// A want in parts that one request may ask for.
-fn split_request(request: &RentalRequest) -> Vec<RentalRequest> {
-    let part = |count| RentalRequest {
-        pool: request.pool.clone(),
-        count,
-    };
-    let mut parts = vec![part(MAX_RENT); request.count / MAX_RENT];
-    if !request.count.is_multiple_of(MAX_RENT) {
-        parts.push(part(request.count % MAX_RENT));
-    }
-    parts
-}
-
-/// A request under a name that is never used again.
-fn name_rental(leading: &Leading, request: &RentalRequest) -> Rental {
-    let number = leading.rental_requests_made.get();
-    leading.rental_requests_made.set(number + 1);
-    Rental {
-        request_name: format!("r-{}-{number}", leading.token()),
-        machine_type: request.pool.machine_type.clone(),
-        zone: request.pool.zone.clone(),
-        spot: request.pool.spot,
-        count: request.count,
-    }
-}
-
-/// Sends a rental request, again where the answer is lost, and notes what came of it.
-async fn send_rental(node: &Node, leading: &Leading, rental: &Rental) -> Vec<MachineId> {
-    let mut machines = Vec::new();
-    for _ in 0..RENT_TRIES {
-        match node.cloud.rent(rental).await {
-            Ok(rented) => {
-                info!(
-                    "event=machines_rented request={} machine_type={} zone={} spot={} asked={} got={}",
-                    rental.request_name,
-                    rental.machine_type,
-                    rental.zone,
-                    rental.spot,
-                    rental.count,
-                    rented.len()
-                );
-                machines = rented;
-                break;
-            }
-            Err(CloudError::NoCapacity) => {
-                info!(
-                    "event=no_capacity machine_type={} zone={} spot={}",
-                    rental.machine_type, rental.zone, rental.spot
-                );
-                break;
-            }
-            Err(e) => {
-                info!("event=rent_failed error={:?}", e.to_string());
-                sleep(Micros::secs(1)).await;
-            }
-        }
-    }
-    if let Some(record) = leading.rentals.borrow_mut().get_mut(&rental.request_name) {
-        record.machines = Some(machines.clone());
-        let now = node.clock.now();
-        let pool = record.pool();
-        let mut scheduler = leading.scheduler.borrow_mut();
-        scheduler.inherit_rented(&pool, &machines, Micros::ZERO, now);
-    }
-    machines
-}
-
-/// The names of rentals that no later leader needs: by now their machines are in every list, or gone.
-fn forget_rentals(node: &Node, leading: &Leading) -> Vec<String> {
-    let unix_time = node.clock.unix_time();
-    let rentals = leading.rentals.borrow();
-    let old = rentals.iter().filter(|(_, r)| {
-        let none_left = r.machines.as_ref().is_some_and(Vec::is_empty);
-        none_left || unix_time.saturating_sub(r.at) >= RENTAL_KEPT.0
-    });
-    old.map(|(name, _)| name.clone())
-        .take(node.platform.facts.state.txn_ops / 2)
-        .collect()
-}
-
-/// Writes down rentals and removes others in one transaction; false if that was not confirmed.
-async fn note_rentals(
-    node: &Node,
-    leading: &Leading,
-    records: Vec<RentalRecord>,
-    forgotten: Vec<String>,
-) -> bool {
-    let puts = records.iter().map(|record| Change::Put {
-        key: rental_key(&record.rental.request_name),
-        value: json!(record),
-        lease: None,
-    });
-    let deletes = forgotten.iter().map(|request_name| Change::Delete {
-        key: rental_key(request_name),
-    });
-    let changes: Vec<Change> = puts.chain(deletes).collect();
-    let when = [leading.leader_condition()];
-    let mut good = false;
-    for _ in 0..NOTE_TRIES {
-        match node.state.txn(Urgency::Now, &when, &changes).await {
-            Ok(Outcome::Applied(_)) => {
-                good = true;
-                break;
-            }
-            Ok(Outcome::Conflict(_)) => break,
-            // The same again does no harm where a try was applied after all.
-            Err(e) => debug!("event=rentals_not_noted error={:?}", e.to_string()),
-        }
-        sleep(RETRY_PAUSE).await;
-    }
-    if good {
-        let mut rentals = leading.rentals.borrow_mut();
-        for request_name in &forgotten {
-            rentals.remove(request_name);
-        }
-        for record in records {
-            rentals.insert(record.rental.request_name.clone(), record);
-        }
-    }
-    good
-}
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -69,7 +69,6 @@
         self.beside_a_card = self.room_beside_a_card();
         let sample = self.sample_size(due.len(), machines.len());
         let everyone: Vec<usize> = (0..machines.len()).collect();
-        let due: HashSet<JobId> = due.into_iter().collect();
         for id in &self.with_claimants(&due) {
             if !due.contains(id) {
                 self.hold_claims(id, &mut machines);
@@ -266,20 +265,16 @@
         jobs.sort_by(|a, b| (place(a), &a.spec.id).cmp(&(place(b), &b.spec.id)));
     }
 
-    /// Jobs to offer now, in their order.
-    fn due_jobs(&self, now: Micros) -> Vec<JobId> {
-        let mut due: Vec<&Job> = self
-            .jobs
-            .values()
-            .filter(|j| j.next_try <= now && j.open() > 0)
-            .collect();
-        self.sort_by_turn(&mut due);
-        due.into_iter().map(|j| j.spec.id.clone()).collect()
+    /// Jobs to offer now.
+    fn due_jobs(&self, now: Micros) -> HashSet<JobId> {
+        let due = |j: &&Job| j.next_try <= now && j.open() > 0;
+        let due = self.jobs.values().filter(due);
+        due.map(|j| j.spec.id.clone()).collect()
     }
 
     /// Machines that take offers and have room for the smallest of these jobs' tasks, in id order: the others need not
     /// be asked.
-    fn candidates(&self, due: &[JobId]) -> Vec<Candidate> {
+    fn candidates(&self, due: &HashSet<JobId>) -> Vec<Candidate> {
         let needs = due.iter().filter_map(|id| self.jobs.get(id));
         let needs = needs.map(|job| job.spec.need());
         let Some(smallest) = needs.reduce(|a, b| a.least(&b)) else {
