--- a/src/cancellations.rs
+++ b/src/cancellations.rs
@@ -147,11 +147,11 @@
 
     /// A report shows whether cancelled tasks are left on its machine: they are gone once two reports in a row, from after
     /// the time in which a start could still arrive, show none.
-    pub fn on_report(&mut self, r: &Report, wall: u64) {
+    pub fn on_report(&mut self, r: &Report, unix_time: u64) {
         let at = (r.session, r.seq);
         let mut gone = Vec::new();
         for (job, known) in &mut self.known {
-            if wall < known.at.saturating_add(STARTS_ARRIVE_FOR.0) {
+            if unix_time < known.at.saturating_add(STARTS_ARRIVE_FOR.0) {
                 continue;
             }
             let Some(left) = known.machines.get_mut(&r.machine) else {
@@ -166,7 +166,7 @@
                 _ if holds => Left::Maybe,
                 Left::Maybe => Left::Doubtful(at),
                 Left::Doubtful(before) if at > before => {
-                    gone.push((wall, job.clone(), r.machine.clone()));
+                    gone.push((unix_time, job.clone(), r.machine.clone()));
                     Left::Gone
                 }
                 Left::Doubtful(before) => Left::Doubtful(before),
@@ -176,7 +176,7 @@
     }
 
     /// Tasks of these jobs are gone from these machines.
-    pub fn note_gone(&mut self, gone: &[(JobId, MachineId)], wall: u64) {
+    pub fn note_gone(&mut self, gone: &[(JobId, MachineId)], unix_time: u64) {
         for (job, machine) in gone {
             let left = self
                 .known
@@ -184,7 +184,8 @@
                 .and_then(|k| k.machines.get_mut(machine));
             if let Some(left) = left.filter(|l| **l != Left::Gone) {
                 *left = Left::Gone;
-                self.gone.push_back((wall, job.clone(), machine.clone()));
+                self.gone
+                    .push_back((unix_time, job.clone(), machine.clone()));
             }
         }
     }
@@ -197,11 +198,11 @@
     }
 
     /// Machines on which tasks of jobs that were cancelled longer ago than this may be left.
-    pub fn overdue(&self, wall: u64, patience: Micros) -> Vec<(JobId, MachineId)> {
+    pub fn overdue(&self, unix_time: u64, patience: Micros) -> Vec<(JobId, MachineId)> {
         let old = self
             .known
             .iter()
-            .filter(|(_, k)| wall > k.at.saturating_add(patience.0));
+            .filter(|(_, k)| unix_time > k.at.saturating_add(patience.0));
         let left = old.flat_map(|(job, k)| {
             let left = k.machines.iter().filter(|(_, l)| **l != Left::Gone);
             left.map(|(machine, _)| (job.clone(), machine.clone()))
@@ -210,8 +211,8 @@
     }
 
     /// Forgets what is older than this.
-    pub fn forget(&mut self, wall: u64, kept: Micros) {
-        let old = |at: u64| wall > at.saturating_add(kept.0);
+    pub fn forget(&mut self, unix_time: u64, kept: Micros) {
+        let old = |at: u64| unix_time > at.saturating_add(kept.0);
         self.known.retain(|_, k| !old(k.at));
         for told in self.told.values_mut() {
             told.jobs.retain(|job| self.known.contains_key(job));
@@ -286,7 +287,7 @@
         return true;
     }
     let answered = matches!(
-        within(CLOUD_WITHIN, node.cloud.flavors()).await,
+        within(CLOUD_WITHIN, node.cloud.machine_types()).await,
         Some(Ok(_))
     );
     if answered {
@@ -303,10 +304,10 @@
     let cancel = Micros::from_secs_f64(node.platform.facts.workers.cancel_s);
     loop {
         sleep(LOOK_EVERY).await;
-        let wall = node.clock.wall();
+        let unix_time = node.clock.unix_time();
         node.cancellations
             .borrow_mut()
-            .forget(wall, cancel.scaled(2, 1));
+            .forget(unix_time, cancel.scaled(2, 1));
         // A leader without a lease that reaches nobody does not act as one: another may lead by now.
         if node.leader_answers() && !node.is_alone() {
             continue;
@@ -314,7 +315,7 @@
         let overdue = node
             .cancellations
             .borrow()
-            .overdue(wall, cancel.scaled(7, 10));
+            .overdue(unix_time, cancel.scaled(7, 10));
         let left: Vec<(JobId, MachineId)> = {
             let view = node.store.view.borrow();
             let shown = |(job, machine): &(JobId, MachineId)| {
@@ -336,7 +337,7 @@
                         .filter(|(_, m)| part.contains(m))
                         .cloned()
                         .collect();
-                    node.cancellations.borrow_mut().note_gone(&gone, wall);
+                    node.cancellations.borrow_mut().note_gone(&gone, unix_time);
                 }
                 Err(e) => debug!("event=return_failed error={:?}", e.to_string()),
             }
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -17,7 +17,7 @@
     /// The steady clock.
     fn now(&self) -> Micros;
     /// The time of day, in microseconds.
-    fn wall(&self) -> u64;
+    fn unix_time(&self) -> u64;
     /// Waits until the steady clock shows this.
     fn sleep_until(&self, at: Micros) -> Pin<Box<dyn Future<Output = ()>>>;
 }
@@ -53,9 +53,9 @@
     }
 
     /// The time of day, in microseconds.
-    pub fn wall(self) -> u64 {
+    pub fn unix_time(self) -> u64 {
         match other() {
-            Some(time) => time.wall(),
+            Some(time) => time.unix_time(),
             None => SystemTime::now()
                 .duration_since(UNIX_EPOCH)
                 .map_or(0, |d| d.as_micros() as u64),
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -1,7 +1,7 @@
-//! The cloud's client: flavors, machine list, rentals and returns.
+//! The cloud's client: machine types, machine list, rentals and returns.
 
 use crate::http::{Client, HttpError};
-use crate::scheduler::{Flavor, MachineId};
+use crate::scheduler::{MachineId, MachineType};
 use crate::units::Micros;
 use http_types::Method;
 use serde::Deserialize;
@@ -55,7 +55,8 @@
     #[serde(rename = "nameId")]
     pub machine: MachineId,
     /// Its type.
-    pub rig: String,
+    #[serde(rename = "rig")]
+    pub machine_type: String,
     /// Its zone.
     #[serde(rename = "yard")]
     pub zone: String,
@@ -70,8 +71,9 @@
 }
 
 #[derive(Deserialize)]
-struct Flavors {
-    rigs: Vec<Flavor>,
+struct MachineTypes {
+    #[serde(rename = "rigs")]
+    machine_types: Vec<MachineType>,
 }
 
 #[derive(Deserialize)]
@@ -86,13 +88,15 @@
     hosts: Vec<MachineId>,
 }
 
-/// What to rent, under a name that is never used for anything else.
+/// What to rent, under a name that is never used for anything else. It is stored with the names that it is sent with.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, Deserialize)]
 pub struct Rental {
     /// The name of the request.
-    pub charter: String,
+    #[serde(rename = "charter")]
+    pub request_name: String,
     /// The machine type.
-    pub rig: String,
+    #[serde(rename = "rig")]
+    pub machine_type: String,
     /// The zone.
     pub zone: String,
     /// Whether spot.
@@ -143,9 +147,9 @@
     }
 
     /// The machine types and their current prices.
-    pub async fn flavors(&self) -> Result<Vec<Flavor>, CloudError> {
-        let flavors: Flavors = self.call(Method::Get, "/flavors", None).await?;
-        Ok(flavors.rigs)
+    pub async fn machine_types(&self) -> Result<Vec<MachineType>, CloudError> {
+        let machine_types: MachineTypes = self.call(Method::Get, "/flavors", None).await?;
+        Ok(machine_types.machine_types)
     }
 
     /// All machines, as the lagging list has them.
@@ -167,7 +171,7 @@
 
     /// Rents machines; the same request may be repeated and rents once.
     pub async fn rent(&self, r: &Rental) -> Result<Vec<MachineId>, CloudError> {
-        let body = json!({"charter": r.charter, "rig": r.rig, "yard": r.zone,
+        let body = json!({"charter": r.request_name, "rig": r.machine_type, "yard": r.zone,
             "loaners": r.spot, "howMany": r.count});
         let rented: Rented = self.call(Method::Post, "/hosts", Some(body)).await?;
         Ok(rented.hosts)
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,7 +1,7 @@
 //! The platform's settings file (TOML) and the operators' own settings (XML), checked before anything starts.
 
 use crate::cloud::MAX_RENT;
-use crate::scheduler::{Knobs, TeamShare};
+use crate::scheduler::{SchedulerConfig, TeamShare};
 use crate::units::Micros;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -355,14 +355,14 @@
     }
 
     /// What the scheduler goes by.
-    pub fn knobs(&self, platform: &Platform) -> Knobs {
+    pub fn scheduler_config(&self, platform: &Platform) -> SchedulerConfig {
         let facts = &platform.facts;
         let aims = |kind: &'static str| facts.objectives.iter().filter(move |o| o.kind == kind);
         // A round takes some microseconds for each offer; a fifth of a second of the processor's share is the most.
         let offers = (facts.machine_limits.core_share * 200_000.0) as usize;
         // A quarter of a second's requests, of fifty machines each.
         let rent_per_round = ((facts.cloud.rps * MAX_RENT as f64 / 4.0) as usize).max(24);
-        Knobs {
+        SchedulerConfig {
             retry: Micros::millis(self.retry_ms.unwrap_or(400)),
             jitter: Micros::millis(self.jitter_ms.unwrap_or(100)),
             idle: self.idle_s.map(Micros::secs),
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -11,7 +11,7 @@
 use crate::peer::{self, Frame, Knowledge, Peer, Request};
 use crate::scheduler::{Controller, End, Final, JobId, MachineId, Report, TeamShare};
 use crate::state::{Change, State, Urgency};
-use crate::store::{Store, heard_key};
+use crate::store::{Store, contacts_key};
 use crate::units::Micros;
 use crate::{users, workers};
 use async_executor::LocalExecutor;
@@ -89,7 +89,7 @@
     token_seen: Cell<u64>,
     misses_told: Cell<Micros>,
     avoided: RefCell<BTreeMap<String, Micros>>,
-    heard: RefCell<BTreeMap<MachineId, Micros>>,
+    contacts: RefCell<BTreeMap<MachineId, Micros>>,
     handed: RefCell<BTreeMap<MachineId, Handed>>,
     seen_here: RefCell<BTreeMap<MachineId, Micros>>,
     heard_new: Event,
@@ -133,7 +133,7 @@
             token_seen: Cell::new(0),
             misses_told: Cell::new(Micros::ZERO),
             avoided: RefCell::default(),
-            heard: RefCell::default(),
+            contacts: RefCell::default(),
             handed: RefCell::default(),
             seen_here: RefCell::default(),
             heard_new: Event::new(),
@@ -232,8 +232,8 @@
     }
 
     /// A machine reported here, and its report can't be passed on.
-    pub fn note_heard(&self, machine: MachineId) {
-        self.heard.borrow_mut().insert(machine, self.clock.now());
+    pub fn note_contact(&self, machine: MachineId) {
+        self.contacts.borrow_mut().insert(machine, self.clock.now());
         self.heard_new.notify(usize::MAX);
     }
 
@@ -269,8 +269,8 @@
 
     /// A report shows what is left of cancelled tasks on its machine.
     pub fn look_for_cancelled(&self, report: &Report) {
-        let wall = self.clock.wall();
-        self.cancellations.borrow_mut().on_report(report, wall);
+        let unix_time = self.clock.unix_time();
+        self.cancellations.borrow_mut().on_report(report, unix_time);
     }
 
     /// Whether a controller that leads, with or without a lease, answers: this one or another.
@@ -305,7 +305,7 @@
     /// its lease allows, and after that it is left in peace for a while.
     pub fn hand_off(&self, machine: &MachineId, zone: &str) -> Option<String> {
         let now = self.clock.now();
-        let answered = self.heard.borrow().get(machine).copied()?;
+        let answered = self.contacts.borrow().get(machine).copied()?;
         if now.since(answered) > self.platform.report().scaled(3, 2) {
             return None;
         }
@@ -431,7 +431,7 @@
     /// them each stays ready and refuses at once, as no other could do better.
     pub fn is_ready(&self) -> bool {
         let view = self.store.view.borrow();
-        if !view.loaded || view.flavors.is_none() || self.is_alone() {
+        if !view.loaded || view.machine_types.is_none() || self.is_alone() {
             return false;
         }
         let now = self.clock.now();
@@ -471,7 +471,10 @@
     let n = node.clone();
     let _lead = duty("lead", Box::pin(async move { lead_by_turns(&n).await }));
     let n = node.clone();
-    let _heard = duty("heard", Box::pin(async move { tell_heard(&n).await }));
+    let _contacts = duty(
+        "contacts",
+        Box::pin(async move { publish_contacts(&n).await }),
+    );
     let n = node.clone();
     let _pulse = duty(
         "pulse",
@@ -558,8 +561,8 @@
     let message = match frame.message {
         Request::Ping { cancelled, gone } => {
             node.note_cancelled(&cancelled);
-            let wall = node.clock.wall();
-            node.cancellations.borrow_mut().note_gone(&gone, wall);
+            let unix_time = node.clock.unix_time();
+            node.cancellations.borrow_mut().note_gone(&gone, unix_time);
             peer::Reply::Pong
         }
         Request::Report { relay, via, report } => {
@@ -598,9 +601,9 @@
 
 /// The duty that asks another controller what it knows.
 async fn ping(node: &Node, peer: &Peer) {
-    let mut told_until = node.clock.wall();
+    let mut told_until = node.clock.unix_time();
     loop {
-        let wall = node.clock.wall();
+        let unix_time = node.clock.unix_time();
         let (cancelled, gone) = {
             let cancellations = node.cancellations.borrow();
             let gone = cancellations.gone_since(told_until);
@@ -612,7 +615,7 @@
         };
         match peer.call(node.known(), ping, PING_WITHIN).await {
             Ok(frame) => {
-                told_until = wall;
+                told_until = unix_time;
                 let incarnation = frame.known.incarnation;
                 let mut cancellations = node.cancellations.borrow_mut();
                 cancellations.was_told(&peer.node, incarnation, &cancelled);
@@ -641,7 +644,7 @@
 /// The duty that tells the leader, by the state service, of machines whose reports can't be passed on.
 ///
 /// Guards against a cut zone being taken for dead machines.
-async fn tell_heard(node: &Node) {
+async fn publish_contacts(node: &Node) {
     let every = node.platform.report();
     loop {
         node.heard_new.listen().await;
@@ -649,7 +652,7 @@
         sleep(Micros::millis(200)).await;
         let now = node.clock.now();
         let machines: Vec<MachineId> = {
-            let mut heard = node.heard.borrow_mut();
+            let mut heard = node.contacts.borrow_mut();
             heard.retain(|_, at| now.since(*at) < every.scaled(3, 2));
             heard.keys().cloned().collect()
         };
@@ -661,7 +664,7 @@
         let most = (node.platform.facts.state.value_kb * 1024.0 / 32.0) as usize;
         for (part, some) in machines.chunks(most.max(1)).enumerate() {
             let put = Change::Put {
-                key: heard_key(&node.platform.node, part),
+                key: contacts_key(&node.platform.node, part),
                 value: serde_json::json!(some),
                 lease: None,
             };
--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -45,10 +45,10 @@
         None,
         "its lease may be nearly over: it is answered first"
     );
-    n.note_heard(m.clone());
+    n.note_contact(m.clone());
     // One silent controller costs five seconds of fourteen: only the one right before this is safe.
     assert_eq!(n.hand_off(&m, "b"), Some("n-0".into()));
-    n.note_heard(m.clone());
+    n.note_contact(m.clone());
     assert_eq!(n.hand_off(&m, "b"), None, "back again, it is left in peace");
     answer_all(&n);
     assert!(!n.is_alone());
@@ -70,7 +70,7 @@
         let put = n.store.view.borrow_mut().put("r/leader", record, 7);
         put.expect("a leader");
     };
-    n.note_heard(m.clone());
+    n.note_contact(m.clone());
     lead("n-2");
     answer_all(&n);
     assert_eq!(
@@ -84,7 +84,7 @@
         "its own zone's leader it reaches"
     );
     let other = MachineId("m-2".into());
-    n.note_heard(other.clone());
+    n.note_contact(other.clone());
     n.words.borrow_mut().remove("n-3");
     assert_eq!(
         n.hand_off(&other, "b"),
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -5,10 +5,13 @@
 use crate::controller::Node;
 use crate::election::{self, Leadership};
 use crate::http::{side_by_side, within};
-use crate::scheduler::{End, Final, Flavor, JobId, MachineId, Scheduler, Want, Write};
+use crate::scheduler::{
+    End, Final, JobId, MachineId, MachineType, RentalRequest, Scheduler, Write,
+};
 use crate::state::{Change, Condition, Outcome, StateError, Urgency};
 use crate::store::{
-    FLAVORS, LEADER, RentalRecord, Seen, View, chunk_key, end_key, images_key, job_key, rental_key,
+    LEADER, MACHINE_TYPES, RentalRecord, View, ViewChange, chunk_key, end_key, images_key, job_key,
+    rental_key,
 };
 use crate::units::Micros;
 use event_listener::Event;
@@ -33,7 +36,7 @@
 /// How often the fleet is looked at.
 const FLEET_EVERY: Micros = Micros::millis(500);
 /// How often the machine types are read.
-const FLAVORS_EVERY: Micros = Micros::secs(30);
+const MACHINE_TYPES_EVERY: Micros = Micros::secs(30);
 /// Tries of one rental request.
 const RENT_TRIES: usize = 3;
 /// Tries of noting rentals, which share the writes with everything else.
@@ -51,7 +54,7 @@
     ended: Cell<u64>,
     round_ended: Event,
     rentals: RefCell<BTreeMap<String, RentalRecord>>,
-    charters: Cell<u64>,
+    rental_requests_made: Cell<u64>,
 }
 
 impl Leading {
@@ -59,20 +62,20 @@
     pub fn new(node: &Node, leadership: Leadership) -> Leading {
         let now = node.clock.now();
         let mut scheduler = Scheduler::new(
-            node.settings.knobs(&node.platform),
+            node.settings.scheduler_config(&node.platform),
             node.teams.clone(),
             leadership.token,
             node.incarnation ^ leadership.token,
             now,
         );
         let view = node.store.view.borrow();
-        if let Some(flavors) = &view.flavors {
-            scheduler.set_flavors(&flavors.value);
+        if let Some(machine_types) = &view.machine_types {
+            scheduler.set_machine_types(&machine_types.value);
         }
         let rentals = view.rentals.clone();
         for record in rentals.values() {
             if let Some(machines) = &record.machines {
-                let age = Micros(node.clock.wall().saturating_sub(record.at));
+                let age = Micros(node.clock.unix_time().saturating_sub(record.at));
                 scheduler.inherit_rented(&record.pool(), machines, age, now);
             }
         }
@@ -90,7 +93,7 @@
             ended: Cell::new(0),
             round_ended: Event::new(),
             rentals: RefCell::new(rentals),
-            charters: Cell::new(0),
+            rental_requests_made: Cell::new(0),
         }
     }
 
@@ -141,7 +144,7 @@
         .set_share(limits.rps / 2.0, limits.write_rps / 2.0);
     let duties = rounds(node, leading)
         .or(news(node, leading))
-        .or(flavors(node, leading))
+        .or(machine_types(node, leading))
         .or(listing(node, leading))
         .or(fleet(node, leading));
     election::keep(node, &leading.leadership).or(duties).await
@@ -209,24 +212,24 @@
 fn take_news(node: &Node, leading: &Leading) {
     let now = node.clock.now();
     let mut scheduler = leading.scheduler.borrow_mut();
-    for seen in node.store.take_seen() {
+    for seen in node.store.take_changes() {
         let view = node.store.view.borrow();
         match seen {
-            Seen::Job(id) => add_job(&mut scheduler, &view, &id, now),
-            Seen::End(id) => {
+            ViewChange::Job(id) => add_job(&mut scheduler, &view, &id, now),
+            ViewChange::End(id) => {
                 if let Some(end) = view.ends.get(&id) {
                     scheduler.end_job(&id, *end);
                 }
             }
-            Seen::Heard(node, machines) => scheduler.on_heard(&node, &machines, now),
-            Seen::Flavors => {}
+            ViewChange::Contacts(node, machines) => scheduler.on_contact(&node, &machines, now),
+            ViewChange::MachineTypes => {}
         }
     }
 }
 
 /// Writes a batch until its outcome is certain; an error says why the term is over.
 async fn write_batch(node: &Node, leading: &Leading, batch: &[Write]) -> Result<(), &'static str> {
-    let at = node.clock.wall();
+    let at = node.clock.unix_time();
     let (when, changes) = transaction(leading, batch, at);
     let mut unsure = false;
     loop {
@@ -418,16 +421,19 @@
 }
 
 /// The duty that reads the machine types and keeps them for controllers that can't.
-async fn flavors(node: &Node, leading: &Leading) -> &'static str {
+async fn machine_types(node: &Node, leading: &Leading) -> &'static str {
     loop {
-        let pause = match node.cloud.flavors().await {
-            Ok(flavors) => {
-                leading.scheduler.borrow_mut().set_flavors(&flavors);
-                let known = node.store.view.borrow().flavors.clone();
-                if known.is_none_or(|k| !same_but_prices(&k.value, &flavors)) {
+        let pause = match node.cloud.machine_types().await {
+            Ok(machine_types) => {
+                leading
+                    .scheduler
+                    .borrow_mut()
+                    .set_machine_types(&machine_types);
+                let known = node.store.view.borrow().machine_types.clone();
+                if known.is_none_or(|k| !same_but_prices(&k.value, &machine_types)) {
                     let put = Change::Put {
-                        key: FLAVORS.into(),
-                        value: json!(flavors),
+                        key: MACHINE_TYPES.into(),
+                        value: json!(machine_types),
                         lease: None,
                     };
                     let when = [leading.leader_condition()];
@@ -437,7 +443,7 @@
                         continue;
                     }
                 }
-                FLAVORS_EVERY
+                MACHINE_TYPES_EVERY
             }
             Err(e) => {
                 debug!("event=flavors_failed error={:?}", e.to_string());
@@ -448,8 +454,8 @@
     }
 }
 
-fn same_but_prices(a: &[Flavor], b: &[Flavor]) -> bool {
-    let bare = |f: &Flavor| Flavor {
+fn same_but_prices(a: &[MachineType], b: &[MachineType]) -> bool {
+    let bare = |f: &MachineType| MachineType {
         price: 0.0,
         spot_price: 0.0,
         ..f.clone()
@@ -483,8 +489,8 @@
             // Nothing else may be decided now, but a cancelled task must go, whoever leads by then: unless this
             // controller is alone, it would have heard of another leader.
             if !node.is_alone() && node.known().token == leading.token() {
-                let wall = node.clock.wall();
-                let overdue = leading.scheduler.borrow_mut().overdue_cancels(wall);
+                let unix_time = node.clock.unix_time();
+                let overdue = leading.scheduler.borrow_mut().overdue_cancels(unix_time);
                 give_back(node, leading, &overdue, |_| true).await;
             }
             continue;
@@ -495,7 +501,7 @@
             if node.hears_of_a_cut() {
                 scheduler.end_calm();
             }
-            scheduler.plan_fleet(now, node.clock.wall())
+            scheduler.plan_fleet(now, node.clock.unix_time())
         };
         let still = |now| leading.may_order(now);
         let give_back = give_back(node, leading, &plan.give_back, still);
@@ -545,27 +551,27 @@
         .map(|r| r.rental.clone())
         .collect();
     for rental in open {
-        request(node, leading, &rental).await;
+        send_rental(node, leading, &rental).await;
     }
 }
 
 /// Rents what is wanted: all requests are written down in one transaction before any is sent, so that the next leader
 /// can ask for their answers, and go out side by side.
-async fn rent(node: &Node, leading: &Leading, wants: &[Want]) {
+async fn rent(node: &Node, leading: &Leading, requests: &[RentalRequest]) {
     let forgotten = forget_rentals(node, leading);
-    let requests: Vec<(Want, Rental)> = wants
+    let requests: Vec<(RentalRequest, Rental)> = requests
         .iter()
-        .flat_map(split_want)
+        .flat_map(split_request)
         .take(node.platform.facts.state.txn_ops / 2)
-        .map(|want| {
-            let rental = name_rental(leading, &want);
-            (want, rental)
+        .map(|request| {
+            let rental = name_rental(leading, &request);
+            (request, rental)
         })
         .collect();
     if requests.is_empty() && forgotten.is_empty() {
         return;
     }
-    let at = node.clock.wall();
+    let at = node.clock.unix_time();
     let open = requests.iter().map(|(_, rental)| RentalRecord {
         rental: rental.clone(),
         machines: None,
@@ -574,17 +580,17 @@
     if !note_rentals(node, leading, open.collect(), forgotten).await {
         return;
     }
-    for (want, _) in &requests {
-        leading.scheduler.borrow_mut().rent_started(want);
+    for (request, _) in &requests {
+        leading.scheduler.borrow_mut().rent_started(request);
     }
-    let asked = requests.iter().map(|(want, rental)| async move {
-        let machines = request(node, leading, rental).await;
+    let asked = requests.iter().map(|(request, rental)| async move {
+        let machines = send_rental(node, leading, rental).await;
         let now = node.clock.now();
         let mut scheduler = leading.scheduler.borrow_mut();
-        scheduler.rent_done(want, &machines, now);
+        scheduler.rent_done(request, &machines, now);
     });
     side_by_side(asked.collect()).await;
-    let names = requests.iter().map(|(_, rental)| &rental.charter);
+    let names = requests.iter().map(|(_, rental)| &rental.request_name);
     let answered = names.filter_map(|n| leading.rentals.borrow().get(n).cloned());
     let answered: Vec<RentalRecord> = answered.collect();
     if !answered.is_empty() {
@@ -593,41 +599,41 @@
 }
 
 /// A want in parts that one request may ask for.
-fn split_want(want: &Want) -> Vec<Want> {
-    let part = |count| Want {
-        pool: want.pool.clone(),
+fn split_request(request: &RentalRequest) -> Vec<RentalRequest> {
+    let part = |count| RentalRequest {
+        pool: request.pool.clone(),
         count,
     };
-    let mut parts = vec![part(MAX_RENT); want.count / MAX_RENT];
-    if !want.count.is_multiple_of(MAX_RENT) {
-        parts.push(part(want.count % MAX_RENT));
+    let mut parts = vec![part(MAX_RENT); request.count / MAX_RENT];
+    if !request.count.is_multiple_of(MAX_RENT) {
+        parts.push(part(request.count % MAX_RENT));
     }
     parts
 }
 
 /// A request under a name that is never used again.
-fn name_rental(leading: &Leading, want: &Want) -> Rental {
-    let number = leading.charters.get();
-    leading.charters.set(number + 1);
+fn name_rental(leading: &Leading, request: &RentalRequest) -> Rental {
+    let number = leading.rental_requests_made.get();
+    leading.rental_requests_made.set(number + 1);
     Rental {
-        charter: format!("r-{}-{number}", leading.token()),
-        rig: want.pool.rig.clone(),
-        zone: want.pool.zone.clone(),
-        spot: want.pool.spot,
-        count: want.count,
+        request_name: format!("r-{}-{number}", leading.token()),
+        machine_type: request.pool.machine_type.clone(),
+        zone: request.pool.zone.clone(),
+        spot: request.pool.spot,
+        count: request.count,
     }
 }
 
 /// Sends a rental request, again where the answer is lost, and notes what came of it.
-async fn request(node: &Node, leading: &Leading, rental: &Rental) -> Vec<MachineId> {
+async fn send_rental(node: &Node, leading: &Leading, rental: &Rental) -> Vec<MachineId> {
     let mut machines = Vec::new();
     for _ in 0..RENT_TRIES {
         match node.cloud.rent(rental).await {
             Ok(rented) => {
                 info!(
-                    "event=machines_rented charter={} rig={} zone={} spot={} asked={} got={}",
-                    rental.charter,
-                    rental.rig,
+                    "event=machines_rented request={} machine_type={} zone={} spot={} asked={} got={}",
+                    rental.request_name,
+                    rental.machine_type,
                     rental.zone,
                     rental.spot,
                     rental.count,
@@ -638,8 +644,8 @@
             }
             Err(CloudError::NoCapacity) => {
                 info!(
-                    "event=no_capacity rig={} zone={} spot={}",
-                    rental.rig, rental.zone, rental.spot
+                    "event=no_capacity machine_type={} zone={} spot={}",
+                    rental.machine_type, rental.zone, rental.spot
                 );
                 break;
             }
@@ -649,7 +655,7 @@
             }
         }
     }
-    if let Some(record) = leading.rentals.borrow_mut().get_mut(&rental.charter) {
+    if let Some(record) = leading.rentals.borrow_mut().get_mut(&rental.request_name) {
         record.machines = Some(machines.clone());
         let now = node.clock.now();
         let pool = record.pool();
@@ -661,11 +667,11 @@
 
 /// The names of rentals that no later leader needs: by now their machines are in every list, or gone.
 fn forget_rentals(node: &Node, leading: &Leading) -> Vec<String> {
-    let wall = node.clock.wall();
+    let unix_time = node.clock.unix_time();
     let rentals = leading.rentals.borrow();
     let old = rentals.iter().filter(|(_, r)| {
         let none_left = r.machines.as_ref().is_some_and(Vec::is_empty);
-        none_left || wall.saturating_sub(r.at) >= RENTAL_KEPT.0
+        none_left || unix_time.saturating_sub(r.at) >= RENTAL_KEPT.0
     });
     old.map(|(name, _)| name.clone())
         .take(node.platform.facts.state.txn_ops / 2)
@@ -680,12 +686,12 @@
     forgotten: Vec<String>,
 ) -> bool {
     let puts = records.iter().map(|record| Change::Put {
-        key: rental_key(&record.rental.charter),
+        key: rental_key(&record.rental.request_name),
         value: json!(record),
         lease: None,
     });
-    let deletes = forgotten.iter().map(|charter| Change::Delete {
-        key: rental_key(charter),
+    let deletes = forgotten.iter().map(|request_name| Change::Delete {
+        key: rental_key(request_name),
     });
     let changes: Vec<Change> = puts.chain(deletes).collect();
     let when = [leading.leader_condition()];
@@ -704,11 +710,11 @@
     }
     if good {
         let mut rentals = leading.rentals.borrow_mut();
-        for charter in &forgotten {
-            rentals.remove(charter);
+        for request_name in &forgotten {
+            rentals.remove(request_name);
         }
         for record in records {
-            rentals.insert(record.rental.charter.clone(), record);
+            rentals.insert(record.rental.request_name.clone(), record);
         }
     }
     good
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! See `docs/design.md` for how it works and what guards each rule.
 
+#![warn(missing_docs)]
+
 pub mod cancellations;
 pub mod clock;
 pub mod cloud;
--- a/src/scheduler/boots.rs
+++ b/src/scheduler/boots.rs
@@ -59,7 +59,10 @@
 impl Scheduler {
     /// How long a machine has been booting, in tenths of the usual time.
     fn boot_tenths(&self, m: &Machine, now: Micros) -> u64 {
-        let boot = self.flavors.get(&m.rig).map(Flavor::boot);
+        let boot = self
+            .machine_types
+            .get(&m.machine_type)
+            .map(MachineType::boot);
         let boot = boot.unwrap_or(Micros::secs(60)).0.max(1);
         now.since(m.since).0.saturating_mul(10) / boot
     }
@@ -119,11 +122,14 @@
     /// Whether a machine is past the usual time of a boot, and nothing that was sent in this leader's time came of it. A
     /// new leader first gives it the time to report.
     fn is_late(&self, m: &Machine, now: Micros) -> bool {
-        let boot = self.flavors.get(&m.rig).map(Flavor::boot);
+        let boot = self
+            .machine_types
+            .get(&m.machine_type)
+            .map(MachineType::boot);
         let quiet = boot.unwrap_or(Micros::secs(60)).scaled(1, 2);
         m.life == Life::Booting
             && m.held.is_empty()
-            && now.since(m.heard_at) > quiet
+            && now.since(m.last_contact) > quiet
             && self.boot_tenths(m, now) > USUAL
     }
 
--- a/src/scheduler/fold.rs
+++ b/src/scheduler/consolidation.rs
@@ -1,18 +1,19 @@
-//! Folding: services that stand scattered over half-empty machines are moved together, one at a time, so that machines
+//! Consolidation: services that stand scattered over half-empty machines are moved together, one at a time, so that machines
 //! can go back. The ordinary path gathers load on low ids only as tasks come; services stay where they once were.
 
 use super::offers::zone_takes;
+use super::reserve::Reserve;
 use super::*;
 use std::collections::HashMap;
 
-/// Room must have been to spare for so long before a machine is folded.
+/// Room must have been to spare for so long before a machine is consolidated.
 const SPARE_FOR: Micros = Micros::secs(30);
 /// Time between two moves of few replicas, so that no short while sees many of them down.
 const BETWEEN_MOVES: Micros = Micros::secs(30);
 /// A move takes a replica down for a second or two: of so many replicas one may move each second.
 const REPLICAS_PER_MOVE: u64 = 1_000;
-/// Of so many replicas one machine more may be folded at the same time.
-const REPLICAS_PER_FOLDING: usize = 20;
+/// Of so many replicas one machine more may be consolidated at the same time.
+const REPLICAS_PER_CONSOLIDATION: usize = 20;
 /// A moved task is at its new place within this.
 const ARRIVES_WITHIN: Micros = Micros::secs(5);
 /// Targets looked at in one plan.
@@ -20,9 +21,9 @@
 /// After its stop a task is told as gone within half a second, and its start is written in far less.
 const HANDOVER: Micros = Micros::millis(600);
 
-/// What folding remembers.
+/// What consolidation remembers.
 #[derive(Debug, Default)]
-pub(super) struct Fold {
+pub(super) struct Consolidation {
     /// Since when there was always room to spare.
     spare_since: Option<Micros>,
     /// When a task was last moved.
@@ -31,7 +32,7 @@
     replicas: usize,
 }
 
-impl Fold {
+impl Consolidation {
     fn between_moves(&self) -> Micros {
         let replicas = self.replicas.max(1) as u64;
         BETWEEN_MOVES.min(Micros::secs(REPLICAS_PER_MOVE).scaled(1, replicas))
@@ -46,29 +47,29 @@
 }
 
 impl Scheduler {
-    /// Picks machines to fold, or lets go of them when their room is needed after all.
-    pub(super) fn plan_fold(&mut self, reserve: Option<&(Rc<JobSpec>, usize)>, now: Micros) {
-        // A task that is being moved waits as well; it must not end the folding that it comes from.
+    /// Picks machines to consolidate, or lets go of them when their room is needed after all.
+    pub(super) fn plan_consolidation(&mut self, reserve: Option<&Reserve>, now: Micros) {
+        // A task that is being moved waits as well; it must not end the consolidation that it comes from.
         let waits = |j: &Job| j.waiting() > 0 && j.moving_until <= now && !j.at_fault;
         let waiting = self.jobs.values().any(waits);
         let services = self
             .jobs
             .values()
             .filter(|j| j.spec.shape == Shape::Service);
-        self.fold.replicas = services.map(|j| j.live as usize).sum();
-        let folding: Vec<MachineId> = self
+        self.consolidation.replicas = services.map(|j| j.live as usize).sum();
+        let consolidating: Vec<MachineId> = self
             .machines
             .iter()
-            .filter(|(_, m)| m.folding)
+            .filter(|(_, m)| m.consolidating)
             .map(|(id, _)| id.clone())
             .collect();
         let mut targets = self.targets();
         let mut under_way = 0;
-        let stuck: Vec<bool> = folding
+        let stuck: Vec<bool> = consolidating
             .iter()
             .map(|id| self.is_stuck(id, &mut targets))
             .collect();
-        for (id, stuck) in folding.iter().zip(stuck) {
+        for (id, stuck) in consolidating.iter().zip(stuck) {
             let Some(m) = self.machines.get(id) else {
                 continue;
             };
@@ -79,28 +80,29 @@
             }
         }
         if waiting {
-            self.fold.spare_since = None;
+            self.consolidation.spare_since = None;
             return;
         }
         // Nothing is moved while a controller is missed; but one lost ping does not undo the wait for room to spare.
-        if self.touch.steady_since.is_none() {
+        if self.liveness.steady_since.is_none() {
             return;
         }
-        let most = 1 + self.fold.replicas / REPLICAS_PER_FOLDING;
+        let most = 1 + self.consolidation.replicas / REPLICAS_PER_CONSOLIDATION;
         if under_way >= most {
             return;
         }
-        let since = *self.fold.spare_since.get_or_insert(now);
-        if now.since(since) < SPARE_FOR || now.since(self.fold.moved_at) < self.fold.between_moves()
+        let since = *self.consolidation.spare_since.get_or_insert(now);
+        if now.since(since) < SPARE_FOR
+            || now.since(self.consolidation.moved_at) < self.consolidation.between_moves()
         {
             return;
         }
-        for machine in self.foldable(reserve, most - under_way) {
+        for machine in self.machines_to_consolidate(reserve, most - under_way) {
             if let Some(m) = self.machines.get_mut(&machine) {
-                m.folding = true;
+                m.consolidating = true;
                 m.life = Life::Draining;
                 self.notes
-                    .push(format!("event=machine_folding machine={machine}"));
+                    .push(format!("event=machine_consolidating machine={machine}"));
             }
         }
     }
@@ -116,7 +118,7 @@
 
     fn let_go(&mut self, id: &MachineId) {
         if let Some(m) = self.machines.get_mut(id) {
-            m.folding = false;
+            m.consolidating = false;
             if m.life == Life::Draining {
                 m.life = Life::Up;
             }
@@ -125,7 +127,7 @@
 
     /// The machines with the fewest services, the highest ids first among equals, if all that they hold are services
     /// that run and would find room elsewhere, the reserve untouched.
-    fn foldable(&self, reserve: Option<&(Rc<JobSpec>, usize)>, most: usize) -> Vec<MachineId> {
+    fn machines_to_consolidate(&self, reserve: Option<&Reserve>, most: usize) -> Vec<MachineId> {
         let mut by_load: Vec<(&MachineId, &Machine)> = self
             .machines
             .iter()
@@ -146,7 +148,7 @@
                 continue;
             };
             let left = *spare.get_or_insert_with(|| {
-                let keep = reserve.map_or(0, |(_, places)| *places);
+                let keep = reserve.map_or(0, |r| r.places);
                 self.open_places(&spec).saturating_sub(keep)
             });
             let own = m.free().count_of(&spec.need()).min(1_000);
@@ -180,7 +182,7 @@
     fn open_places(&self, spec: &JobSpec) -> usize {
         self.machines
             .values()
-            .filter(|m| m.takes_offers() && spec.allows(&m.rig, &m.zone, m.spot))
+            .filter(|m| m.takes_offers() && spec.allows(&m.machine_type, &m.zone, m.spot))
             .map(|m| m.free().count_of(&spec.need()).min(1_000))
             .sum()
     }
@@ -233,22 +235,24 @@
         m.takes_offers()
             && m.free().holds(room)
             && m.has_image(&job.spec.image)
-            && job.allows(&m.rig, &m.zone, m.spot)
+            && job.allows(&m.machine_type, &m.zone, m.spot)
             && !job.failed_on.contains(id)
             && zone_takes(job, &m.zone, 0, Some(left))
     }
 
-    /// At a report of a machine that is being folded: the task to stop now, if a machine that would take it reports
+    /// At a report of a machine that is being consolidated: the task to stop now, if a machine that would take it reports
     /// next just when the task's exit is known, so that the replica is down as shortly as can be.
     pub(super) fn task_to_move(&mut self, from: &MachineId, now: Micros) -> Option<TaskId> {
         let m = self.machines.get(from)?;
-        if !m.folding || now.since(self.fold.moved_at) < self.fold.between_moves() {
+        if !m.consolidating
+            || now.since(self.consolidation.moved_at) < self.consolidation.between_moves()
+        {
             return None;
         }
         let task = m.held.keys().next()?.clone();
         let job = self.movable(&task)?;
         let need = job.spec.need();
-        let earliest = self.knobs.report.scaled(3, 4);
+        let earliest = self.config.report.scaled(3, 4);
         let quiet = |m: &Machine| now.since(m.reported_at);
         let in_time = |m: &Machine| {
             quiet(m) + HANDOVER <= earliest
@@ -261,7 +265,7 @@
         let target = takers
             .max_by_key(|(_, m)| quiet(m))
             .map(|(id, _)| id.clone())?;
-        self.fold.moved_at = now;
+        self.consolidation.moved_at = now;
         let job = self.jobs.get_mut(&task.job)?;
         // The place is spoken for until the task has had time to come.
         job.moving_until = now + ARRIVES_WITHIN;
--- a/src/scheduler/silence.rs
+++ b/src/scheduler/failure_detection.rs
@@ -51,7 +51,7 @@
 
 /// What the scheduler knows of the ways on which reports come.
 #[derive(Debug, Default)]
-pub(super) struct Touch {
+pub(super) struct Liveness {
     /// Since when all controllers have been well.
     pub(super) steady_since: Option<Micros>,
     doubtful_zones: BTreeMap<String, Micros>,
@@ -78,34 +78,34 @@
     pub fn set_controllers(&mut self, controllers: &[Controller], now: Micros) {
         let silent: Vec<&Controller> = controllers.iter().filter(|c| !c.answers).collect();
         let steady = silent.is_empty();
-        self.touch.steady_since = steady.then(|| self.touch.steady_since.unwrap_or(now));
-        self.touch.closed_zones = silent.iter().map(|c| c.zone.clone()).collect();
+        self.liveness.steady_since = steady.then(|| self.liveness.steady_since.unwrap_or(now));
+        self.liveness.closed_zones = silent.iter().map(|c| c.zone.clone()).collect();
         for other in controllers.iter().filter(|c| c.answers) {
-            self.touch.closed_zones.remove(&other.zone);
+            self.liveness.closed_zones.remove(&other.zone);
         }
         for c in &silent {
-            self.touch.doubtful_zones.insert(c.zone.clone(), now);
-            self.touch.silent_nodes.insert(c.node.clone(), now);
+            self.liveness.doubtful_zones.insert(c.zone.clone(), now);
+            self.liveness.silent_nodes.insert(c.node.clone(), now);
         }
         if silent.len() >= 2 {
-            self.touch.two_silent_at = Some(now);
+            self.liveness.two_silent_at = Some(now);
         }
         // After a cut workers still need a while to come back.
-        self.touch
+        self.liveness
             .doubtful_zones
             .retain(|_, at| now.since(*at) < CUT_LINGERS);
-        self.touch
+        self.liveness
             .silent_nodes
             .retain(|_, at| now.since(*at) < CUT_LINGERS);
-        self.touch.two_silent_at = self
-            .touch
+        self.liveness.two_silent_at = self
+            .liveness
             .two_silent_at
             .filter(|at| now.since(*at) < CUT_LINGERS);
     }
 
     /// Another controller misses one that answers here: workers beyond that cut look for another as well.
     pub fn end_calm(&mut self) {
-        self.touch.steady_since = None;
+        self.liveness.steady_since = None;
     }
 
     /// How many of the workers that report to this controller itself should go to another, once all is well again.
@@ -114,24 +114,24 @@
     /// carry all the work, and all would have to find another controller at once when it fails.
     pub(super) fn workers_to_shed(&self, now: Micros) -> usize {
         let calm = self
-            .touch
+            .liveness
             .steady_since
             .is_some_and(|t| now.since(t) > SHED_AFTER);
-        if !calm || self.knobs.controllers < 2 {
+        if !calm || self.config.controllers < 2 {
             return 0;
         }
         let own = self
             .machines
             .values()
             .filter(|m| m.in_touch && m.via.is_empty());
-        let fair = self.machines.len() * 2 / self.knobs.controllers;
+        let fair = self.machines.len() * 2 / self.config.controllers;
         own.count().saturating_sub(fair).div_ceil(SHED_OF)
     }
 
     /// Whether a worker that just reported here should report elsewhere.
     pub fn sheds_worker(&mut self) -> bool {
-        let sheds = self.touch.shed > 0;
-        self.touch.shed -= usize::from(sheds);
+        let sheds = self.liveness.shed > 0;
+        self.liveness.shed -= usize::from(sheds);
         sheds
     }
 
@@ -139,8 +139,8 @@
     ///
     /// Guards against tasks that wait behind a cut, on machines that only another controller hears, while others have
     /// room.
-    pub(super) fn lose_touch(&mut self, now: Micros) {
-        let limit = self.knobs.report.scaled(5, 4) + OUT_OF_TOUCH;
+    pub(super) fn lose_contact(&mut self, now: Micros) {
+        let limit = self.config.report.scaled(5, 4) + OUT_OF_TOUCH;
         let mut waiting = Vec::new();
         for m in self.machines.values_mut() {
             if m.in_touch && now.since(m.reported_at) > limit {
@@ -172,7 +172,7 @@
                 give_up.push((id.clone(), "stuck"));
             }
         }
-        self.touch
+        self.liveness
             .given_up
             .retain(|(at, _, _)| now.since(*at) < GIVEN_UP_COUNTS);
         self.excuse_cut_off(now);
@@ -193,7 +193,7 @@
                     why = "deaf";
                 }
                 let given_up = (now, m.zone.clone(), m.spot);
-                self.touch.given_up.push_back(given_up);
+                self.liveness.given_up.push_back(given_up);
             }
             let kind = (why, m.zone.clone(), m.spot);
             lost.entry(kind).or_default().push(id);
@@ -219,7 +219,7 @@
         let tasks: Vec<String> = known()
             .flat_map(|m| m.held.keys().map(TaskId::to_string))
             .collect();
-        let quiet = known().map(|m| now.since(m.heard_at)).max();
+        let quiet = known().map(|m| now.since(m.last_contact)).max();
         self.notes.push(format!(
             "event=machine_vanished machine={} count={} why={why} zone={zone} spot={spot} quiet={} tasks=[{}]",
             names.join(","),
@@ -241,12 +241,12 @@
             *last = m.reported_at.max(*last);
         }
         let stopped = ways.into_iter().filter(|(_, (workers, last))| {
-            let gaps = self.knobs.report.scaled(STOPPED_GAPS, *workers);
+            let gaps = self.config.report.scaled(STOPPED_GAPS, *workers);
             now.since(*last) > STOPPED_AFTER + gaps
         });
         let stopped = stopped.map(|((via, zone), _)| ((via.to_owned(), zone.to_owned()), now));
-        self.touch.stopped.extend(stopped);
-        self.touch
+        self.liveness.stopped.extend(stopped);
+        self.liveness
             .stopped
             .retain(|_, at| now.since(*at) < CUT_LINGERS);
     }
@@ -260,20 +260,20 @@
             let last = heard.entry(&m.zone).or_default();
             *last = m.reported_at.max(*last);
         }
-        let limit = self.knobs.report.scaled(5, 4) + OUT_OF_TOUCH;
+        let limit = self.config.report.scaled(5, 4) + OUT_OF_TOUCH;
         for (zone, last) in heard {
             if now.since(last) > limit {
-                self.touch.dark.insert(zone.to_owned(), now);
+                self.liveness.dark.insert(zone.to_owned(), now);
             } else {
-                self.touch.dark.remove(zone);
+                self.liveness.dark.remove(zone);
             }
         }
-        self.touch.dark.retain(|_, at| now.since(*at) < DARK_FOR);
+        self.liveness.dark.retain(|_, at| now.since(*at) < DARK_FOR);
     }
 
     /// Whether nothing is heard of a zone, so that a machine rented there could not be told anything either.
     pub(super) fn is_dark(&self, zone: &str) -> bool {
-        self.touch.dark.contains_key(zone) || self.touch.closed_zones.contains(zone)
+        self.liveness.dark.contains_key(zone) || self.liveness.closed_zones.contains(zone)
     }
 
     /// The leader itself stood still: silence from before that is its own.
@@ -283,13 +283,13 @@
     ///
     /// A short standstill only moves what was heard along, so that a leader that is slow all the time still finds the dead.
     pub fn stood_still(&mut self, gap: Micros, now: Micros) {
-        let long = gap >= self.knobs.report;
+        let long = gap >= self.config.report;
         for m in self.machines.values_mut() {
             if long {
                 m.excused_at = now;
                 m.reported_at = now;
             } else {
-                m.heard_at = now.min(m.heard_at + gap);
+                m.last_contact = now.min(m.last_contact + gap);
                 m.reported_at = now.min(m.reported_at + gap);
             }
         }
@@ -300,22 +300,23 @@
     /// Guards against taking a cut, or a controller's own trouble, for deaths: when much of a zone, or of all, falls
     /// silent together, it is given up only once the workers' leases are over; a wave of taken spot machines excepted.
     fn silent(&self, now: Micros) -> Vec<MachineId> {
-        let step = self.knobs.report.scaled(5, 4) + Micros::secs(1);
+        let step = self.config.report.scaled(5, 4) + Micros::secs(1);
         let two_moves = step + WORKER_MOVES_ON.scaled(2, 1);
         let steady = self
-            .touch
+            .liveness
             .steady_since
             .is_some_and(|t| now.since(t) > two_moves);
-        let lease = self.knobs.lease + step;
+        let lease = self.config.lease + step;
         // Guards against what gave up 157 live machines: a new leader does not know through whom it would hear those that
         // it never heard, and a controller that lost all but its workers needs most of their lease to hand them on.
-        let way_unknown = |m: &Machine| m.newest.is_none() && !self.touch.silent_nodes.is_empty();
+        let way_unknown =
+            |m: &Machine| m.newest.is_none() && !self.liveness.silent_nodes.is_empty();
         // A worker whose controller is out of reach needs a while to find another one; where the way to
         // its zone, or to two controllers, is broken it may have to try two in vain.
         let patience = |m: &Machine| {
-            let far = self.touch.two_silent_at.is_some()
-                || self.touch.doubtful_zones.contains_key(&m.zone)
-                || self.touch.silent_nodes.contains_key(&m.via);
+            let far = self.liveness.two_silent_at.is_some()
+                || self.liveness.doubtful_zones.contains_key(&m.zone)
+                || self.liveness.silent_nodes.contains_key(&m.via);
             if way_unknown(m) {
                 lease.max(two_moves)
             } else if self.is_way_stopped(m) || (far && !steady) {
@@ -327,7 +328,7 @@
             }
         };
         // Once a cut is over, workers need as long as ever to be heard.
-        let quiet = |m: &Machine| now.since(m.heard_at.max(m.excused_at));
+        let quiet = |m: &Machine| now.since(m.last_contact.max(m.excused_at));
         let is_late = |m: &Machine| quiet(m) > patience(m);
         // Many of one controller's workers late together: the way through it is troubled, though it answers pings.
         let mut ways: BTreeMap<&str, Silence> = BTreeMap::new();
@@ -344,7 +345,7 @@
             zones.entry(&m.zone).or_default().add(m.spot, is_quiet(m));
             all.add(m.spot, is_quiet(m));
         }
-        for (_, zone, spot) in &self.touch.given_up {
+        for (_, zone, spot) in &self.liveness.given_up {
             zones.entry(zone).or_default().add(*spot, true);
             all.add(*spot, true);
         }
@@ -355,7 +356,7 @@
             }
             let zone = &zones[m.zone.as_str()];
             // Of a zone from which nothing comes the first quarter to be late is no handful of deaths.
-            let dark = zone.all >= DARK_FROM && self.touch.dark.get(&m.zone) == Some(&now);
+            let dark = zone.all >= DARK_FROM && self.liveness.dark.get(&m.zone) == Some(&now);
             let few = zone.is_few(m.spot) && all.is_few(m.spot) && !dark;
             let wave = m.spot && zone.quiet[0] == 0 && all.is_few(false);
             let noticed = m.notice.is_some_and(|t| t < now);
@@ -368,12 +369,13 @@
 
     fn is_way_stopped(&self, m: &Machine) -> bool {
         let way = (m.via.clone(), m.zone.clone());
-        self.touch.stopped.contains_key(&way)
+        self.liveness.stopped.contains_key(&way)
     }
 
     /// Notes which machines need not be heard now.
     fn excuse_cut_off(&mut self, now: Micros) {
-        let cut_off = |m: &Machine| self.is_cut_off(m, now) && now.since(m.heard_at) < CUT_LASTS;
+        let cut_off =
+            |m: &Machine| self.is_cut_off(m, now) && now.since(m.last_contact) < CUT_LASTS;
         let excused: Vec<MachineId> = self
             .machines
             .iter()
@@ -393,13 +395,13 @@
     /// Guards against giving up what runs well behind a cut, or with a controller that lost everything but its workers.
     fn is_cut_off(&self, m: &Machine, now: Micros) -> bool {
         let tells = |node: &str| {
-            let told = self.touch.told.get(node);
-            told.is_some_and(|at| now.since(*at) < self.knobs.report.scaled(2, 1) + TOLD_WITHIN)
+            let told = self.liveness.told.get(node);
+            told.is_some_and(|at| now.since(*at) < self.config.report.scaled(2, 1) + TOLD_WITHIN)
         };
         let silent_now = |node: &str| {
-            let silent = self.touch.silent_nodes.get(node);
+            let silent = self.liveness.silent_nodes.get(node);
             silent.is_some_and(|at| now.since(*at) < TOLD_WITHIN)
         };
-        (silent_now(&m.via) && !tells(&m.via)) || self.touch.closed_zones.contains(&m.zone)
+        (silent_now(&m.via) && !tells(&m.via)) || self.liveness.closed_zones.contains(&m.zone)
     }
 }
--- a/src/scheduler/fair.rs
+++ b/src/scheduler/fair.rs
@@ -38,7 +38,7 @@
             self.fair = Fair::default();
             return;
         }
-        long.sort_by_key(|(j, _)| (Reverse(j.spec.priority), j.turn(self.wall)));
+        long.sort_by_key(|(j, _)| (Reverse(j.spec.priority), j.turn(self.unix_time)));
         let mut teams: BTreeMap<String, JobId> = BTreeMap::new();
         let mut wanting: Vec<JobId> = Vec::new();
         for (job, waited) in long {
--- /dev/null
+++ b/src/scheduler/job.rs
@@ -0,0 +1,284 @@
+//! A job in the leader's memory: its chunks, its tasks' placements and its place in the queue.
+
+use super::ids::MachineId;
+use super::job_spec::JobSpec;
+use super::messages::TaskState;
+use super::records::{CHUNK, ChunkRecord, End};
+use crate::units::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// What has no deadline goes behind what is due so soon after it came.
+///
+/// Guards against spare-time work that comes in thousands of long tasks: by its age it would go before all that has a
+/// deadline, which could not be met any more.
+const UNDATED: Micros = Micros::secs(600);
+/// Longest pause for a job that keeps failing.
+const MOST_BACKOFF: Micros = Micros::secs(30);
+
+/// Why a task is being stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopReason {
+    /// A job that goes before it takes the room.
+    Preempted,
+    /// Its machine is to be emptied.
+    Drained,
+}
+
+/// A task that may be on a machine.
+#[derive(Debug, Clone)]
+pub struct Placement {
+    /// Where.
+    pub machine: MachineId,
+    /// The attempt.
+    pub attempt: u64,
+    /// Whether the placement is written down; only then may its start be sent.
+    pub committed: bool,
+    /// Whether an earlier leader made it, so that a start of that leader's may still be on its way.
+    pub inherited: bool,
+    /// The report (session, seq) whose answer carried the start.
+    pub sent: Option<(u64, u64)>,
+    /// Its state in the newest report.
+    pub seen: Option<TaskState>,
+    /// When it was first seen to run.
+    pub running_since: Option<Micros>,
+    /// Whether, and why, it is being stopped.
+    pub stopping: Option<StopReason>,
+}
+
+/// A chunk of a job's tasks.
+#[derive(Debug, Clone, Default)]
+pub struct Chunk {
+    /// Finished tasks, bit by bit.
+    pub finished: u64,
+    /// Those of them that are written down.
+    pub finished_committed: u64,
+    /// Highest attempt given.
+    pub last_attempt: u64,
+    /// Tasks that may be on a machine.
+    pub live: BTreeMap<u8, Placement>,
+    /// The key's version, 0 where it is not yet written.
+    pub version: u64,
+    /// Whether there is something to write.
+    pub dirty: bool,
+    /// Since when there is.
+    pub changed_at: Micros,
+}
+
+impl Chunk {
+    /// The record as it would be written now.
+    pub fn record(&self) -> ChunkRecord {
+        ChunkRecord {
+            finished: self.finished,
+            last_attempt: self.last_attempt,
+            live: self
+                .live
+                .iter()
+                .map(|(i, p)| (*i, p.machine.clone(), p.attempt))
+                .collect(),
+        }
+    }
+
+    /// A chunk as an earlier leader left it.
+    pub fn inherit(record: &ChunkRecord, version: u64) -> Chunk {
+        let live = record.live.iter().map(|(i, machine, attempt)| {
+            let placement = Placement {
+                machine: machine.clone(),
+                attempt: *attempt,
+                committed: true,
+                inherited: true,
+                sent: None,
+                seen: None,
+                running_since: None,
+                stopping: None,
+            };
+            (*i, placement)
+        });
+        Chunk {
+            finished: record.finished,
+            finished_committed: record.finished,
+            last_attempt: record.last_attempt,
+            live: live.collect(),
+            version,
+            dirty: false,
+            changed_at: Micros::ZERO,
+        }
+    }
+}
+
+/// A job that is not over, or whose tasks may still be on machines.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// What was asked for.
+    pub spec: Rc<JobSpec>,
+    /// When it was submitted, by the time of day.
+    pub at: u64,
+    /// Whether it is over.
+    pub end: Option<End>,
+    /// Whether a try to write its end is under way or done.
+    pub ending: bool,
+    /// Its chunks, as far as anything happened in them.
+    pub chunks: BTreeMap<u32, Chunk>,
+    /// Finished tasks.
+    pub done: u32,
+    /// Tasks that may be on a machine.
+    pub live: u32,
+    /// Those of them by zone.
+    pub live_in: BTreeMap<String, u32>,
+    /// When its waiting tasks are offered next.
+    pub next_try: Micros,
+    /// Machines where it failed: they are not offered again.
+    pub failed_on: BTreeSet<MachineId>,
+    /// Failures in a row, for backing off.
+    pub failures: u32,
+    /// Whether it failed on so many machines, with no success between, that it is itself at fault.
+    pub at_fault: bool,
+    /// Whether a spot machine was taken with work of it that could not be saved.
+    pub lost_on_spot: bool,
+    /// Machines where tasks are being stopped for waiting ones of this job, and until when that is believed.
+    pub claims: Vec<(MachineId, Micros)>,
+    /// Until when a task of it that waits is one that was stopped only to be moved.
+    pub moving_until: Micros,
+    /// Since when it is offered with nothing of it placed.
+    pub stuck_since: Option<Micros>,
+}
+
+impl Job {
+    /// A job of which nothing was placed yet.
+    pub fn new(spec: Rc<JobSpec>, at: u64, end: Option<End>, now: Micros) -> Job {
+        Job {
+            spec,
+            at,
+            end,
+            ending: end.is_some(),
+            chunks: BTreeMap::new(),
+            done: 0,
+            live: 0,
+            live_in: BTreeMap::new(),
+            next_try: now,
+            failed_on: BTreeSet::new(),
+            failures: 0,
+            at_fault: false,
+            lost_on_spot: false,
+            claims: Vec::new(),
+            moving_until: Micros::ZERO,
+            stuck_since: None,
+        }
+    }
+
+    /// When it should be complete, by the time of day; without a deadline so long after it came.
+    pub fn due_at(&self) -> u64 {
+        let due = self.spec.due_s.map_or(UNDATED, Micros::from_secs_f64);
+        self.at.saturating_add(due.0)
+    }
+
+    /// Its place among jobs of its priority at a time of day: the one due first goes first.
+    ///
+    /// Guards against an overload in which every job is served just too late: one that by its owner's estimate can't be
+    /// in time any more counts as due half as late again, and if not even then, at three times its time. It gives way
+    /// to what may still be in time, but only so far, so that none waits for ever.
+    pub fn turn(&self, unix_time: u64) -> u64 {
+        let due = self.due_at();
+        let allowed = due - self.at;
+        let done_at = unix_time.saturating_add(Micros::from_secs_f64(self.spec.expect_s).0);
+        if self.spec.due_s.is_none() || done_at <= due {
+            due
+        } else if done_at <= due.saturating_add(allowed / 2) {
+            due.saturating_add(allowed / 2)
+        } else {
+            due.saturating_add(allowed).saturating_add(allowed)
+        }
+    }
+
+    /// Tasks that are neither finished nor possibly on a machine.
+    pub fn waiting(&self) -> u32 {
+        if self.end.is_some() || self.ending {
+            0
+        } else {
+            self.spec.tasks - self.done - self.live
+        }
+    }
+
+    /// Tasks that wait and may be offered now: of a job at fault one, and then none for a while.
+    ///
+    /// Guards against a large job submitted with a mistake: all of its tasks would be started, and rented for, again and
+    /// again, only to fail.
+    pub fn open(&self) -> u32 {
+        if self.at_fault {
+            self.waiting().min(1)
+        } else {
+            self.waiting()
+        }
+    }
+
+    /// How long it pauses after its latest failure.
+    pub fn pause(&self) -> Micros {
+        Micros::secs(1 << self.failures.min(5)).min(MOST_BACKOFF)
+    }
+
+    /// Whether its tasks may go to such a machine. What lost its work on a spot machine once does not try its luck again:
+    /// a job without checkpoints could lose it over and over and never be in time.
+    pub fn allows(&self, machine_type: &str, zone: &str, spot: bool) -> bool {
+        self.spec.allows(machine_type, zone, spot) && !(spot && self.lost_on_spot)
+    }
+
+    /// The first waiting task at or after `from`.
+    pub fn next_waiting(&self, from: u32) -> Option<u32> {
+        let mut index = from;
+        while index < self.spec.tasks {
+            let (c, i) = (index / CHUNK, index % CHUNK);
+            let Some(chunk) = self.chunks.get(&c) else {
+                return Some(index);
+            };
+            if chunk.finished >> i & 1 == 0 && !chunk.live.contains_key(&(i as u8)) {
+                return Some(index);
+            }
+            index += 1;
+        }
+        None
+    }
+
+    /// The attempt that the next placement of a task of this chunk gets. The tasks of a gang find each other by it, so it
+    /// is the same for all that are placed together.
+    pub fn next_attempt(&self, chunk: u32) -> u64 {
+        if !self.spec.is_gang() {
+            return self.chunks.get(&chunk).map_or(0, |c| c.last_attempt) + 1;
+        }
+        let live = self.chunks.values().flat_map(|c| c.live.values());
+        let highest = self.chunks.values().map(|c| c.last_attempt).max();
+        match live.map(|p| p.attempt).max() {
+            Some(attempt) => attempt,
+            None => highest.unwrap_or(0) + 1,
+        }
+    }
+
+    /// The placement of a task.
+    pub fn placement(&self, index: u32) -> Option<&Placement> {
+        self.chunks
+            .get(&(index / CHUNK))?
+            .live
+            .get(&((index % CHUNK) as u8))
+    }
+
+    /// The placement of a task, to change.
+    pub fn placement_mut(&mut self, index: u32) -> Option<&mut Placement> {
+        self.chunks
+            .get_mut(&(index / CHUNK))?
+            .live
+            .get_mut(&((index % CHUNK) as u8))
+    }
+
+    /// Whether a task is finished.
+    pub fn is_finished(&self, index: u32) -> bool {
+        self.chunks
+            .get(&(index / CHUNK))
+            .is_some_and(|c| c.finished >> (index % CHUNK) & 1 == 1)
+    }
+
+    /// Whether a finished task is written down as such.
+    pub fn is_finish_committed(&self, index: u32) -> bool {
+        self.chunks
+            .get(&(index / CHUNK))
+            .is_some_and(|c| c.finished_committed >> (index % CHUNK) & 1 == 1)
+    }
+}
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -184,14 +184,14 @@
 
     /// Sets the next try of a job with waiting tasks.
     fn delay(&mut self, id: &JobId, now: Micros) {
-        let jitter = self.rng.u64(0..=self.knobs.jitter.0);
+        let jitter = self.rng.u64(0..=self.config.jitter.0);
         if let Some(job) = self.jobs.get_mut(id)
             && job.waiting() > 0
         {
             let pause = if job.at_fault {
                 job.pause()
             } else {
-                self.knobs.retry
+                self.config.retry
             };
             job.next_try = now + pause + Micros(jitter);
         }
@@ -244,12 +244,12 @@
         let Some(spec) = spec_of(&self.jobs, id) else {
             return false;
         };
-        let Some(within) = self.knobs.wait_within.get(&spec.class) else {
+        let Some(within) = self.config.wait_within.get(&spec.class) else {
             return false;
         };
-        let rates = self.flavors.values().map(|f| f.fetch_gb_per_s);
+        let rates = self.machine_types.values().map(|f| f.fetch_gb_per_s);
         let rate = rates.fold(0.001, f64::max);
-        Micros::from_secs_f64(spec.image_gb / rate) + self.knobs.report > *within
+        Micros::from_secs_f64(spec.image_gb / rate) + self.config.report > *within
     }
 
     /// Sorts jobs: what is critical first, then guarantees before borrowing, then by priority, then by deadline or age.
@@ -261,7 +261,7 @@
             let waits = j.spec.priority < Priority::Critical;
             let borrows = !self.guaranteed.contains(&j.spec.id);
             let priority = Reverse(j.spec.priority);
-            (waits, borrows, priority, j.turn(self.wall))
+            (waits, borrows, priority, j.turn(self.unix_time))
         };
         jobs.sort_by(|a, b| (place(a), &a.spec.id).cmp(&(place(b), &b.spec.id)));
     }
@@ -300,7 +300,7 @@
 
     /// How many machines each job may be offered to within the round's allowance.
     fn sample_size(&self, jobs: usize, machines: usize) -> usize {
-        let fair = self.knobs.offers_per_round / jobs.max(1);
+        let fair = self.config.offers_per_round / jobs.max(1);
         if fair >= machines {
             machines
         } else {
@@ -393,7 +393,7 @@
         let (Some(m), Some(job)) = (self.machines.get(machine), self.jobs.get(id)) else {
             return false;
         };
-        job.allows(&m.rig, &m.zone, m.spot)
+        job.allows(&m.machine_type, &m.zone, m.spot)
             && !job.failed_on.contains(machine)
             && zone_takes(job, &m.zone, 0, None)
     }
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -53,7 +53,7 @@
         let Some(job) = self.jobs.get(id) else { return };
         let spec = job.spec.clone();
         let open = (job.open() as usize).saturating_sub(job.claims.len());
-        if !self.knobs.wait_within.contains_key(&spec.class) && !self.is_entitled(id) {
+        if !self.config.wait_within.contains_key(&spec.class) && !self.is_entitled(id) {
             return;
         }
         let mut planned = spec.need().times(job.claims.len());
@@ -82,7 +82,7 @@
                 .max()
                 .unwrap_or_default();
             // The stop waits for a report, the exit is told within a second, and then the claim is used.
-            let until = now + self.knobs.report.scaled(5, 4) + save + Micros::secs(2);
+            let until = now + self.config.report.scaled(5, 4) + save + Micros::secs(2);
             for task in victims {
                 self.stop_for(&task, id);
             }
@@ -133,7 +133,7 @@
         let coming = &room.coming;
         let mut best: Option<(Micros, MachineId, Vec<TaskId>)> = None;
         for machine in room.stoppable.iter().flatten() {
-            if self.offers_made >= self.knobs.offers_per_round.saturating_mul(2) {
+            if self.offers_made >= self.config.offers_per_round.saturating_mul(2) {
                 break;
             }
             self.offers_made += 1;
@@ -169,7 +169,10 @@
             }
             // A fetch that is saved is time won for the task that waits.
             if !m.has_image(&spec.image) {
-                let rate = self.flavors.get(&m.rig).map_or(1.0, |f| f.fetch_gb_per_s);
+                let rate = self
+                    .machine_types
+                    .get(&m.machine_type)
+                    .map_or(1.0, |f| f.fetch_gb_per_s);
                 loss = loss + Micros::from_secs_f64(spec.image_gb / rate.max(0.001));
             }
             if best.as_ref().is_none_or(|(l, _, _)| loss < *l) {
@@ -181,7 +184,7 @@
 
     /// Whether the job is to get its team's guarantee, and the platform has an aim for that.
     fn is_entitled(&self, id: &JobId) -> bool {
-        self.knobs.guarantee_within.is_some() && self.guaranteed.contains(id)
+        self.config.guarantee_within.is_some() && self.guaranteed.contains(id)
     }
 
     /// The work that stopping a task would lose, or none if it must not be stopped for this job. Where stopping only
@@ -246,7 +249,7 @@
         let left = whole.since(ran);
         let breaks = [2, 3].into_iter().any(|halves| {
             let due = job.at + Micros::from_secs_f64(due_s).scaled(halves, 2).0;
-            let spare = due.saturating_sub(self.wall);
+            let spare = due.saturating_sub(self.unix_time);
             spare >= left.0 && spare < (left + RESTART).0
         });
         if breaks { whole } else { Micros::ZERO }
--- /dev/null
+++ b/src/scheduler/rental_plan.rs
@@ -0,0 +1,355 @@
+//! What to rent for the tasks that neither free nor coming room will hold.
+
+use super::fleet::{Pool, RentalRequest};
+use super::job::Job;
+use super::job_spec::{JobSpec, Shape};
+use super::machine::{Life, MOST_TASKS, Machine};
+use super::machine_type::MachineType;
+use super::offers::zone_takes;
+use super::reserve::Reserve;
+use super::{JobId, Scheduler, TaskId};
+use crate::units::{Micros, Room};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Tasks looked at in one round when counting what to rent.
+const TASKS_PER_ROUND: usize = 10_000;
+/// Fewer waiting tasks than this are no ramp.
+const RAMP_FROM: usize = 16;
+
+/// Room that is expected: a machine that boots, is being rented, or is about to be rented.
+struct Bin {
+    pool: Pool,
+    free: Room,
+    /// How many more tasks it may take, whatever their size.
+    slots: usize,
+    new: bool,
+    /// Whether the room is there only once tasks that run there now have ended.
+    later: bool,
+}
+
+/// A plan of rentals in the making.
+struct Plan {
+    bins: Vec<Bin>,
+    /// The first bin that may take the next task of the job at hand.
+    next: usize,
+    /// Machines to be rented by it.
+    rented: usize,
+    /// Machines by zone, those to be rented included.
+    in_zone: BTreeMap<String, usize>,
+}
+
+impl Scheduler {
+    /// What to rent for waiting tasks that neither free nor coming room will hold, and for the reserve.
+    pub(super) fn plan_rentals(
+        &mut self,
+        reserve: Option<Reserve>,
+        now: Micros,
+    ) -> Vec<RentalRequest> {
+        // A new leader first hears what there is.
+        let hears_for = self.config.report.scaled(5, 4) + Micros::secs(1);
+        if now.since(self.began) < hears_for && !self.all_have_reported() {
+            return Vec::new();
+        }
+        let mut plan = self.begin_plan(now);
+        let mut planned_use: BTreeMap<String, Room> = BTreeMap::new();
+        let mut left = TASKS_PER_ROUND;
+        if let Some(reserve) = &reserve {
+            self.plan_places(&reserve.like, self.ramp_extra(), &mut plan, now);
+        }
+        for id in self.waiting_jobs(now) {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let spec = job.spec.clone();
+            let need = spec.need();
+            let mut in_zone: BTreeMap<String, u32> = BTreeMap::new();
+            plan.next = 0;
+            for _ in 0..job.open() {
+                let planned = planned_use.entry(spec.team.clone()).or_default();
+                if left == 0 || !self.within_limit(&spec.team, &(*planned + need)) {
+                    break;
+                }
+                let Some(zone) = self.plan_task(job, &in_zone, &mut plan, now) else {
+                    break;
+                };
+                *planned += need;
+                *in_zone.entry(zone).or_default() += 1;
+                left -= 1;
+            }
+        }
+        if let Some(reserve) = reserve {
+            self.plan_places(&reserve.like, reserve.places, &mut plan, now);
+        }
+        let mut requests: BTreeMap<Pool, usize> = BTreeMap::new();
+        for bin in plan.bins.into_iter().filter(|b| b.new) {
+            *requests.entry(bin.pool).or_default() += 1;
+        }
+        let mut allowed = self.config.rent_per_round;
+        let mut rent = Vec::new();
+        for (pool, count) in requests {
+            let count = count.min(allowed);
+            allowed -= count;
+            if count > 0 {
+                rent.push(RentalRequest { pool, count });
+            }
+        }
+        rent
+    }
+
+    /// Sees to it that there are, or come, so many places for such tasks.
+    fn plan_places(&self, spec: &Rc<JobSpec>, places: usize, plan: &mut Plan, now: Micros) {
+        let job = Job::new(spec.clone(), 0, None, Micros::ZERO);
+        let nowhere = BTreeMap::new();
+        plan.next = 0;
+        for _ in self.free_places(spec)..places {
+            if self.plan_task(&job, &nowhere, plan, now).is_none() {
+                return;
+            }
+        }
+    }
+
+    /// Places to rent beyond what waits, while much of the classes that can't wait for a boot does: boots differ by
+    /// more than double, so that of more machines those needed are up sooner.
+    fn ramp_extra(&self) -> usize {
+        let (mut waiting, mut running) = (0, 0);
+        for job in self.jobs.values() {
+            if self.config.wait_within.contains_key(&job.spec.class) && !job.spec.spot {
+                waiting += job.waiting() as usize;
+                running += job.live as usize;
+            }
+        }
+        if waiting > RAMP_FROM.max(running / 4) {
+            waiting / 2
+        } else {
+            0
+        }
+    }
+
+    /// Whether the machine list was read, and every machine that must be up by it, or by its tasks, has reported.
+    fn all_have_reported(&self) -> bool {
+        let is_up = |m: &Machine| m.listed_running || !m.held.is_empty();
+        let mut machines = self.machines.values();
+        self.fleet.listed && machines.all(|m| m.life != Life::Booting || !is_up(m))
+    }
+
+    /// Jobs with waiting tasks in the order in which they are offered, those that back off left out. For one at fault
+    /// nothing is rented as long as there is any machine that it could fail on.
+    fn waiting_jobs(&self, now: Micros) -> Vec<JobId> {
+        let any_up = self.machines.values().any(Machine::takes_offers);
+        let mut waiting: Vec<&Job> = self
+            .jobs
+            .values()
+            .filter(|j| j.open() > 0 && j.next_try <= now + Micros::secs(2))
+            .filter(|j| !(j.at_fault && any_up))
+            .collect();
+        self.sort_by_turn(&mut waiting);
+        waiting.into_iter().map(|j| j.spec.id.clone()).collect()
+    }
+
+    /// Room that comes without renting anything more.
+    fn coming(&self, now: Micros) -> Vec<Bin> {
+        let mut bins = Vec::new();
+        let offered_within = self.config.retry + self.config.jitter.scaled(2, 1);
+        for m in self.machines.values() {
+            let boot = self
+                .machine_types
+                .get(&m.machine_type)
+                .map_or(Micros::secs(60), MachineType::boot);
+            // One that reported, but not yet to have heard this leader, does so with its next report or is not there.
+            let reports_soon =
+                m.newest.is_none() || now.since(m.last_contact) < self.config.report.scaled(2, 1);
+            let on_its_way = m.life == Life::Booting
+                && reports_soon
+                && m.total != Room::default()
+                && !m.lost
+                && self.comes_soon(m, now);
+            let mut free = m.free();
+            let mut frees = false;
+            let mut later = false;
+            if m.takes_offers() {
+                for (task, need) in &m.held {
+                    let stopping = self.is_stopping(task);
+                    if stopping || self.ends_within(task, boot.scaled(1, 3), now) {
+                        free += *need;
+                        frees = true;
+                        later |= !stopping;
+                    }
+                }
+            }
+            // Guards against renting once more for tasks that wait a moment longer for their next offer.
+            let just_up = m.takes_offers()
+                && m.is_empty()
+                && m.idle_since.is_some_and(|t| now.since(t) <= offered_within);
+            if on_its_way || frees || just_up {
+                bins.push(Bin {
+                    pool: Pool {
+                        machine_type: m.machine_type.clone(),
+                        zone: m.zone.clone(),
+                        spot: m.spot,
+                    },
+                    free,
+                    slots: MOST_TASKS.saturating_sub(m.reported_tasks()),
+                    new: false,
+                    later,
+                });
+            }
+        }
+        for request in &self.fleet.renting {
+            let Some(machine_type) = self.machine_types.get(&request.pool.machine_type) else {
+                continue;
+            };
+            for _ in 0..request.count {
+                bins.push(Bin {
+                    pool: request.pool.clone(),
+                    free: machine_type.room(),
+                    slots: MOST_TASKS,
+                    new: false,
+                    later: false,
+                });
+            }
+        }
+        bins
+    }
+
+    pub(super) fn is_stopping(&self, task: &TaskId) -> bool {
+        let job = self.jobs.get(&task.job);
+        let p = job.and_then(|j| j.placement(task.index));
+        p.is_some_and(|p| p.stopping.is_some())
+    }
+
+    /// Whether a task is done so soon, by its owner's estimate, that renting would not help sooner.
+    fn ends_within(&self, task: &TaskId, limit: Micros, now: Micros) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let Some(since) = job.placement(task.index).and_then(|p| p.running_since) else {
+            return false;
+        };
+        let expected = Micros::from_secs_f64(job.spec.expect_s);
+        let left = expected.since(now.since(since));
+        // An estimate that has run out says little; a quarter as long again is a fair guess.
+        job.spec.shape == Shape::Array && left.max(expected.scaled(1, 4)) <= limit
+    }
+
+    fn begin_plan(&self, now: Micros) -> Plan {
+        let mut in_zone: BTreeMap<String, usize> = BTreeMap::new();
+        for m in self.machines.values() {
+            match in_zone.get_mut(&m.zone) {
+                Some(n) => *n += 1,
+                None => {
+                    in_zone.insert(m.zone.clone(), 1);
+                }
+            }
+        }
+        Plan {
+            bins: self.coming(now),
+            next: 0,
+            rented: 0,
+            in_zone,
+        }
+    }
+
+    /// Finds coming room for a task, or adds a machine to rent; the zone, or none where nothing can be had.
+    fn plan_task(
+        &self,
+        job: &Job,
+        in_zone: &BTreeMap<String, u32>,
+        plan: &mut Plan,
+        now: Micros,
+    ) -> Option<String> {
+        let spec = &job.spec;
+        let need = spec.need();
+        let zone_fits = |zone: &str| {
+            let here = in_zone.get(zone).copied().unwrap_or(0);
+            let elsewhere: u32 = in_zone.values().sum::<u32>() - here;
+            zone_takes(job, zone, here, None) && !(spec.together && elsewhere > 0)
+        };
+        // What has a deadline or must start at once does not wait for others to end.
+        // For latency-sensitive work a rented machine comes later than what ends within a part of a boot.
+        let patient = spec.due_s.is_none() && self.has_time_for_boots(spec)
+            || self.is_latency_sensitive(spec);
+        // What did not take one task of a job does not take the next.
+        while let Some(bin) = plan.bins.get_mut(plan.next) {
+            if bin.free.holds(&need)
+                && bin.slots > 0
+                && (patient || !bin.later)
+                && job.allows(&bin.pool.machine_type, &bin.pool.zone, bin.pool.spot)
+                && zone_fits(&bin.pool.zone)
+            {
+                bin.free -= need;
+                bin.slots -= 1;
+                return Some(bin.pool.zone.clone());
+            }
+            plan.next += 1;
+        }
+        if plan.rented >= self.config.rent_per_round {
+            return None;
+        }
+        let (pool, room) = self.choose_pool(job, plan, now, zone_fits)?;
+        let zone = pool.zone.clone();
+        plan.rented += 1;
+        *plan.in_zone.entry(zone.clone()).or_default() += 1;
+        plan.bins.push(Bin {
+            pool,
+            free: room - need,
+            slots: MOST_TASKS - 1,
+            new: true,
+            later: false,
+        });
+        Some(zone)
+    }
+
+    /// Whether the start aim of the job's class, if it has one, leaves the time of two boots.
+    fn has_time_for_boots(&self, spec: &JobSpec) -> bool {
+        let boot = self.machine_types.values().map(MachineType::boot).max();
+        let within = self.config.wait_within.get(&spec.class);
+        within.is_none_or(|w| boot.is_some_and(|b| *w > b.scaled(2, 1)))
+    }
+
+    /// The pool where a place for such a task is cheapest; among equals the zone with the fewest machines. Zones of which
+    /// nothing is heard, or where machines come up late, come last.
+    fn choose_pool(
+        &self,
+        job: &Job,
+        plan: &Plan,
+        now: Micros,
+        zone_fits: impl Fn(&str) -> bool,
+    ) -> Option<(Pool, Room)> {
+        let need = job.spec.need();
+        let mut best: Option<((bool, f64, usize), Pool, Room)> = None;
+        for machine_type in self.machine_types.values() {
+            let room = machine_type.room();
+            let places = room.count_of(&need).min(1_000);
+            if places == 0 {
+                continue;
+            }
+            for zone in machine_type.zones.iter().filter(|z| zone_fits(z)) {
+                for spot in [true, false] {
+                    let pool = Pool {
+                        machine_type: machine_type.name.clone(),
+                        zone: zone.clone(),
+                        spot,
+                    };
+                    if !job.allows(&pool.machine_type, zone, spot)
+                        || self.fleet.paused.get(&pool).is_some_and(|t| *t > now)
+                    {
+                        continue;
+                    }
+                    let price = if spot {
+                        machine_type.spot_price
+                    } else {
+                        machine_type.price
+                    };
+                    let there = plan.in_zone.get(zone).copied().unwrap_or(0);
+                    let doubtful = self.is_dark(zone) || self.boots.is_slow(zone);
+                    let rank = (doubtful, price / places as f64, there);
+                    if best.as_ref().is_none_or(|(r, _, _)| rank < *r) {
+                        best = Some((rank, pool, room));
+                    }
+                }
+            }
+        }
+        best.map(|(_, pool, room)| (pool, room))
+    }
+}
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -13,7 +13,7 @@
 
 /// What a report brought.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Heard {
+pub struct ReportOutcome {
     /// Whether it is the newest of its machine; an older one changes nothing and gets no orders.
     pub fresh: bool,
     /// Whether something is to be written or offered on account of it.
@@ -22,28 +22,28 @@
 
 impl Scheduler {
     /// Takes in a report that the controller `via` passed on, or that came to this one.
-    pub fn on_report(&mut self, r: &Report, via: &str, now: Micros) -> Heard {
+    pub fn on_report(&mut self, r: &Report, via: &str, now: Micros) -> ReportOutcome {
         self.latest = now;
         // Late reports of machines that are gone must not bring them back.
         if self.gone.contains(&r.machine) {
-            return Heard::default();
+            return ReportOutcome::default();
         }
         if !self.machines.contains_key(&r.machine) {
             self.notes
                 .push(format!("event=machine_unexpected machine={}", r.machine));
         }
-        self.learn_machine(&r.machine, &r.rig, &r.zone, r.spot, now);
+        self.learn_machine(&r.machine, &r.machine_type, &r.zone, r.spot, now);
         let Some(m) = self.machines.get_mut(&r.machine) else {
-            return Heard::default();
+            return ReportOutcome::default();
         };
         let at = (r.session, r.seq);
         if m.newest.is_some_and(|newest| at <= newest) {
-            return Heard::default();
+            return ReportOutcome::default();
         }
         let echoes = r.token == self.token;
         self.count_unheeded(r, via, now);
         let Some(m) = self.machines.get_mut(&r.machine) else {
-            return Heard::default();
+            return ReportOutcome::default();
         };
         m.newest = Some(at);
         m.reported_at = now;
@@ -55,7 +55,7 @@
         // Guards against copies of old reports, and against reports of a machine that hears nobody: only what shows
         // that our answers arrive is a sign of life for long.
         if !m.is_deaf() {
-            m.heard_at = now;
+            m.last_contact = now;
         }
         // Guards against a late copy bringing back a machine that an earlier leader returned: until a report shows
         // this leader's token, only a machine rented by this leader is taken to be there.
@@ -68,8 +68,8 @@
             m.written_images = m.image_names();
             let took = now.since(m.since);
             self.notes.push(format!(
-                "event=machine_up machine={} rig={} zone={} spot={} after={took}",
-                r.machine, r.rig, r.zone, r.spot
+                "event=machine_up machine={} machine_type={} zone={} spot={} after={took}",
+                r.machine, r.machine_type, r.zone, r.spot
             ));
         }
         let noticed = r.notice_s.is_some() && m.notice.is_none();
@@ -91,7 +91,7 @@
                 m.idle_since = Some(now);
             }
         }
-        Heard {
+        ReportOutcome {
             fresh: true,
             changed,
         }
@@ -103,8 +103,8 @@
     /// Guards against a machine whose reports arrive while answers do not reach it: silence never shows, and in id
     /// order the same task would be sent there again and again.
     fn count_unheeded(&mut self, r: &Report, via: &str, now: Micros) {
-        let lease = self.knobs.lease;
-        let window = lease + self.knobs.report.scaled(2, 1);
+        let lease = self.config.lease;
+        let window = lease + self.config.report.scaled(2, 1);
         let Some(m) = self.machines.get_mut(&r.machine) else {
             return;
         };
@@ -112,10 +112,10 @@
             return;
         };
         let behind = r.token < self.token;
-        let ended = r.session > session && now.since(m.heard_at) < lease.scaled(1, 2);
+        let ended = r.session > session && now.since(m.last_contact) < lease.scaled(1, 2);
         let heeds = m.heeds(r);
         // A worker that misses an answer turns to the next controller: one that stays was answered, if not by us.
-        let stays = self.knobs.controllers > 1 && m.via == via;
+        let stays = self.config.controllers > 1 && m.via == via;
         if behind || !stays && (ended || heeds == Some(false)) {
             m.unheeded += 1;
             m.unheeded_at = now;
@@ -415,8 +415,8 @@
     pub(super) fn note_image(&mut self, machine: &MachineId, spec: &JobSpec) {
         if let Some(m) = self.machines.get_mut(machine) {
             let cache = self
-                .flavors
-                .get(&m.rig)
+                .machine_types
+                .get(&m.machine_type)
                 .map_or(f64::INFINITY, |f| f.cache_gb);
             m.note_image(&spec.image, spec.image_gb, cache);
         }
@@ -542,11 +542,11 @@
     }
 
     /// Another controller hears these machines though their reports can't get here: they are alive.
-    pub fn on_heard(&mut self, node: &str, machines: &[MachineId], now: Micros) {
-        self.touch.told.insert(node.to_owned(), now);
+    pub fn on_contact(&mut self, node: &str, machines: &[MachineId], now: Micros) {
+        self.liveness.told.insert(node.to_owned(), now);
         for id in machines {
             if let Some(m) = self.machines.get_mut(id) {
-                m.heard_at = now;
+                m.last_contact = now;
             }
         }
     }
--- a/src/scheduler/stories/silence.rs
+++ b/src/scheduler/scenarios/failure_detection.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn a_silent_machine_keeps_its_tasks_until_the_cloud_says_that_it_is_gone() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     t.worker("m-2", "a", false);
     t.submit(spec("j-1", 1));
@@ -32,7 +32,7 @@
 
 #[test]
 fn a_zone_that_falls_silent_together_is_not_given_up() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 0..8 {
         t.worker(&format!("m-a{i}"), "a", false);
         t.worker(&format!("m-b{i}"), "b", false);
@@ -45,7 +45,7 @@
     // Another controller hears half of them; of the others the leases are over in the end.
     t.wait(25);
     let heard: Vec<MachineId> = (0..4).map(|i| MachineId(format!("m-b{i}"))).collect();
-    t.s.on_heard("n-2", &heard, t.now);
+    t.s.on_contact("n-2", &heard, t.now);
     for i in 0..8 {
         t.beat(&format!("m-a{i}"));
     }
@@ -60,7 +60,7 @@
 
 #[test]
 fn a_wave_of_taken_spot_machines_is_not_taken_for_a_cut() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 0..8 {
         t.worker(&format!("m-a{i}"), "a", i >= 2);
     }
@@ -72,10 +72,10 @@
 
 #[test]
 fn what_the_list_lacks_is_lost_only_when_it_cannot_be_the_lists_age() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     let listed = |name: &str, age_s: f64| Listed {
         machine: MachineId(name.into()),
-        rig: "rig".into(),
+        machine_type: "rig".into(),
         zone: "a".into(),
         spot: false,
         status: ListedStatus::Running,
@@ -96,7 +96,7 @@
         let mut controllers = vec![controller("n-0", "a", true), controller("n-1", "a", true)];
         controllers.push(controller("n-2", "b", true));
         controllers.extend(silent.iter().map(|(n, z)| controller(n, z, false)));
-        let mut t = Story::new(0.0);
+        let mut t = Scenario::new(0.0);
         for i in 0..8 {
             t.worker(&format!("m-{i}"), "a", false);
         }
@@ -125,7 +125,7 @@
 // Guards against giving up a cut zone a few machines at a time, as they fall silent one after the other.
 #[test]
 fn a_zone_that_falls_silent_bit_by_bit_is_not_eaten_up() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 0..12 {
         t.worker(&format!("m-a{i:02}"), "a", false);
         t.worker(&format!("m-b{i:02}"), "b", false);
@@ -147,7 +147,7 @@
 }
 
 /// Reports that go out, each by another controller as nobody answers, while the orders of their answers are lost.
-fn unheard(t: &mut Story, name: &str, nth: usize) -> Vec<Order> {
+fn unheard(t: &mut Scenario, name: &str, nth: usize) -> Vec<Order> {
     t.via = ["n-1", "n-2", "n-3"][nth % 3];
     let orders = t.ask(name);
     t.via = "n-1";
@@ -158,8 +158,8 @@
 // send the same task there for ever.
 #[test]
 fn a_machine_that_hears_no_answer_takes_no_more_and_goes_back() {
-    let mut t = Story::new(0.0);
-    t.s.knobs.idle = Some(Micros::secs(10_000));
+    let mut t = Scenario::new(0.0);
+    t.s.config.idle = Some(Micros::secs(10_000));
     for i in 1..9 {
         t.worker(&format!("m-{i}"), "a", false);
     }
@@ -212,8 +212,8 @@
 // Guards against emptying a zone behind a cut through which only one direction passes.
 #[test]
 fn many_machines_that_hear_no_answer_are_taken_for_a_cut() {
-    let mut t = Story::new(0.0);
-    t.s.knobs.idle = Some(Micros::secs(10_000));
+    let mut t = Scenario::new(0.0);
+    t.s.config.idle = Some(Micros::secs(10_000));
     for i in 0..8 {
         t.worker(&format!("m-{i}"), "a", false);
     }
@@ -241,7 +241,7 @@
 // Guards against late copies of reports: of a machine returned, of an earlier state, of an earlier session.
 #[test]
 fn late_copies_of_reports_prove_nothing_bring_nothing_back_and_count_nothing_twice() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     t.worker("m-2", "a", false);
     let before_any = t.workers.get_mut("m-1").expect("a worker").report("m-1");
@@ -298,13 +298,13 @@
 // its workers alive; and against keeping for ever what died behind it.
 #[test]
 fn the_workers_of_a_controller_that_lost_everything_else_are_not_given_up() {
-    let mut t = Story::new(0.0);
-    t.s.knobs.idle = Some(Micros::secs(10_000));
+    let mut t = Scenario::new(0.0);
+    t.s.config.idle = Some(Micros::secs(10_000));
     for i in 0..10 {
         t.worker(&format!("m-{i}"), "a", false);
     }
     let mut controllers = vec![controller("n-0", "a", true), controller("n-1", "a", true)];
-    let beat = |t: &mut Story, nth: usize| {
+    let beat = |t: &mut Scenario, nth: usize| {
         t.via = if nth == 0 { "n-1" } else { "n-0" };
         t.beat(&format!("m-{nth}"));
     };
@@ -327,7 +327,7 @@
     // One that the cloud says has failed is not waited for.
     let listed = (0..10).map(|i| Listed {
         machine: MachineId(format!("m-{i}")),
-        rig: "rig".into(),
+        machine_type: "rig".into(),
         zone: "a".into(),
         spot: false,
         status: if i == 0 {
@@ -348,8 +348,8 @@
 // seconds, and its workers, fewer than a quarter of all, were taken to have died.
 #[test]
 fn many_late_workers_of_one_controller_are_given_the_time_to_find_another() {
-    let mut t = Story::new(0.0);
-    t.s.knobs.idle = Some(Micros::secs(10_000));
+    let mut t = Scenario::new(0.0);
+    t.s.config.idle = Some(Micros::secs(10_000));
     for i in 0..40 {
         t.via = ["n-1", "n-2", "n-3", "n-4", "n-5"][i % 5];
         t.worker(&format!("m-{i:02}"), ["a", "b"][i % 2], false);
@@ -374,8 +374,8 @@
 // them, and every one of them late by a few seconds was taken to have died while the others were not late yet.
 #[test]
 fn a_way_that_stops_as_a_whole_is_no_death_of_its_machines() {
-    let mut t = Story::new(0.0);
-    t.s.knobs.idle = Some(Micros::secs(10_000));
+    let mut t = Scenario::new(0.0);
+    t.s.config.idle = Some(Micros::secs(10_000));
     let via = |i: usize| if i.is_multiple_of(10) { "n-1" } else { "" };
     for i in 0..300 {
         t.via = via(i);
@@ -403,9 +403,9 @@
 // Guards against giving up the first quarter of a cut zone that has no controller, which is late a little before the rest.
 #[test]
 fn a_zone_that_goes_dark_is_not_given_up_before_its_leases_are_over() {
-    let mut t = Story::new(0.0);
-    t.s.knobs.idle = Some(Micros::secs(10_000));
-    t.s.knobs.report = Micros::secs(6);
+    let mut t = Scenario::new(0.0);
+    t.s.config.idle = Some(Micros::secs(10_000));
+    t.s.config.report = Micros::secs(6);
     for i in 0..60 {
         t.worker(&format!("m-{i}"), ["a", "a", "b"][i % 3], false);
     }
@@ -430,8 +430,8 @@
 // hear meanwhile is no silence.
 #[test]
 fn a_leader_that_stood_still_gives_nobody_up_for_it() {
-    let mut t = Story::new(0.0);
-    t.s.knobs.idle = Some(Micros::secs(10_000));
+    let mut t = Scenario::new(0.0);
+    t.s.config.idle = Some(Micros::secs(10_000));
     for i in 0..20 {
         t.worker(&format!("m-{i}"), "a", false);
     }
@@ -466,14 +466,14 @@
 // Guards against a leader that keeps every worker after a filter between controllers.
 #[test]
 fn a_leader_with_too_many_workers_of_its_own_sheds_them_bit_by_bit_once_all_is_well() {
-    let mut t = Story::new(0.0);
-    t.s.knobs.idle = Some(Micros::secs(10_000));
+    let mut t = Scenario::new(0.0);
+    t.s.config.idle = Some(Micros::secs(10_000));
     t.via = "";
     for i in 0..30 {
         t.worker(&format!("m-{i:02}"), "a", false);
     }
     let controllers = [controller("n-0", "a", true), controller("n-1", "a", true)];
-    let shed_after = |t: &mut Story, seconds: u64| {
+    let shed_after = |t: &mut Scenario, seconds: u64| {
         let mut shed = 0;
         for _ in 0..seconds {
             t.wait(1);
@@ -497,8 +497,8 @@
 // Guards against giving up the workers beyond a cut of two other zones, of which this controller reaches every one.
 #[test]
 fn a_cut_that_only_others_see_ends_the_calm() {
-    let mut t = Story::new(0.0);
-    t.s.knobs.idle = Some(Micros::secs(10_000));
+    let mut t = Scenario::new(0.0);
+    t.s.config.idle = Some(Micros::secs(10_000));
     for i in 0..20 {
         t.worker(&format!("m-{i:02}"), ["a", "b"][i % 2], false);
     }
@@ -525,7 +525,7 @@
 // Guards against live machines given up by a new leader, which does not know yet that their controller is cut off.
 #[test]
 fn what_a_new_leader_never_heard_may_be_with_a_controller_that_is_silent() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 0..10 {
         t.worker(&format!("m-{i}"), "a", false);
     }
@@ -546,6 +546,6 @@
             given_up.get_or_insert(second);
         }
     }
-    let lease = knobs().lease.0 / 1_000_000;
+    let lease = config().lease.0 / 1_000_000;
     assert!(given_up.is_some_and(|s| s > lease), "{given_up:?}");
 }
--- a/src/scheduler/stories/faults.rs
+++ b/src/scheduler/scenarios/faults.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn a_machine_failing_everything_is_left_out_and_given_back() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     t.worker("m-2", "a", false);
     t.worker("m-3", "a", false);
@@ -27,7 +27,7 @@
 
 #[test]
 fn a_job_failing_everywhere_backs_off_and_no_machine_is_blamed() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 1..=4 {
         t.worker(&format!("m-{i}"), "a", false);
     }
@@ -60,7 +60,7 @@
 }
 
 /// Plays a while in which the tasks of broken jobs fail, and all that run on these machines; the others complete.
-fn play_failing(t: &mut Story, broken: &[&str], sick: &[&str], seconds: u64) -> usize {
+fn play_failing(t: &mut Scenario, broken: &[&str], sick: &[&str], seconds: u64) -> usize {
     let mut failed = 0;
     for _ in 0..seconds {
         t.round();
@@ -89,7 +89,7 @@
 // being started, and rented for, again and again, and against a broken job that hides a faulty machine.
 #[test]
 fn broken_jobs_and_a_faulty_machine_are_told_apart() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 1..=12 {
         t.worker(&format!("m-{i:02}"), "a", false);
     }
@@ -123,7 +123,7 @@
 // Guards against a good job whose tasks wait for all the others to end, because some met faulty machines.
 #[test]
 fn what_failed_on_faulty_machines_is_tried_again_while_the_others_run() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 1..=10 {
         t.worker(&format!("m-{i}"), "a", false);
     }
@@ -150,7 +150,7 @@
 // Guards against a good job that met only faulty machines first being taken for broken for good, and them for good.
 #[test]
 fn a_job_that_succeeds_elsewhere_speaks_against_the_machines_where_it_failed() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 1..=8 {
         t.worker(&format!("m-{i}"), "a", false);
     }
@@ -168,7 +168,7 @@
 // Guards against a gang that is taken to be at fault and offered one task at a time, so that it never starts again.
 #[test]
 fn a_gang_that_failed_everywhere_starts_whole_again_after_its_pause() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 1..=8 {
         t.worker(&format!("m-{i}"), "a", false);
     }
--- a/src/scheduler/stories/brisk.rs
+++ b/src/scheduler/scenarios/latency_sensitive.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// A job whose aims leave no time for a boot.
-fn brisk(id: &str, tasks: u32) -> JobSpec {
+fn latency_sensitive(id: &str, tasks: u32) -> JobSpec {
     JobSpec {
         priority: Priority::Urgent,
         expect_s: 15.0,
@@ -17,8 +17,8 @@
 // against small tasks that take, bit by bit, the room that is being made for a large one.
 #[test]
 fn what_a_team_is_guaranteed_takes_the_room_made_for_it_and_keeps_it() {
-    let mut t = Story::new(0.0);
-    t.s.knobs.guarantee_within = Some(Micros::secs(15));
+    let mut t = Scenario::new(0.0);
+    t.s.config.guarantee_within = Some(Micros::secs(15));
     for (name, cards) in [("owed", 2.0), ("borrows", 1.0)] {
         let share = TeamShare::new(0.0, 0.0, cards, 0.0);
         t.s.teams.insert(name.into(), share);
@@ -28,12 +28,12 @@
         ..spec
     };
     t.worker("m-1", "a", false);
-    t.submit(of("borrows", brisk("j-1", 2)));
+    t.submit(of("borrows", latency_sensitive("j-1", 2)));
     t.round();
     t.beat("m-1");
     t.beat("m-1");
     assert_eq!(t.running(), 2);
-    t.submit(of("borrows", brisk("j-2", 3)));
+    t.submit(of("borrows", latency_sensitive("j-2", 3)));
     let large = JobSpec {
         priority: Priority::Normal,
         cores: 12.0,
@@ -68,8 +68,10 @@
 // would be stopped for each of them and never end.
 #[test]
 fn an_array_is_not_stopped_for_a_higher_one_before_it_ran_for_a_while() {
-    let mut t = Story::new(0.0);
-    t.s.knobs.wait_within.insert("fast".into(), Micros::secs(8));
+    let mut t = Scenario::new(0.0);
+    t.s.config
+        .wait_within
+        .insert("fast".into(), Micros::secs(8));
     let whole_machine = JobSpec {
         cores: 16.0,
         cards: 0.0,
@@ -84,7 +86,7 @@
     t.submit(JobSpec {
         class: "fast".into(),
         cards: 0.0,
-        ..brisk("j-2", 1)
+        ..latency_sensitive("j-2", 1)
     });
     let mut ran = 0;
     let stops = loop {
@@ -105,7 +107,7 @@
 
 /// Seconds for which an empty machine is kept after such a job.
 fn kept_after(job: JobSpec, on_spot: bool) -> u64 {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", on_spot);
     t.submit(job);
     t.s.plan_fleet(t.now, 1_000_000);
@@ -135,7 +137,7 @@
     for spot in [true, false] {
         let job = JobSpec {
             spot,
-            ..brisk("j-1", 1)
+            ..latency_sensitive("j-1", 1)
         };
         assert_eq!(kept_after(job, spot), 40);
     }
@@ -146,7 +148,7 @@
 fn ordinary_machines_are_not_kept_for_work_that_may_use_spot_machines() {
     let job = JobSpec {
         spot: true,
-        ..brisk("j-1", 1)
+        ..latency_sensitive("j-1", 1)
     };
     assert_eq!(kept_after(job, false), 5);
 }
@@ -154,7 +156,7 @@
 // Guards against the finishes of many short tasks using up the writes for which starts wait.
 #[test]
 fn where_writes_are_short_finishes_wait_for_their_jobs_next_placement_or_end_or_some_seconds() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     t.submit(JobSpec {
         cores: 1.0,
@@ -164,7 +166,7 @@
     });
     t.round();
     t.beat("m-1");
-    let finish = |t: &mut Story, index: u32| {
+    let finish = |t: &mut Scenario, index: u32| {
         let worker = t.workers.get_mut("m-1").expect("a worker");
         let task = format!("j-1/{index}");
         for ((name, _), state) in worker.tasks.iter_mut() {
@@ -195,7 +197,7 @@
 // differ from what was written, and removed where they were.
 #[test]
 fn images_are_written_once_and_removed_only_where_they_were() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     t.worker("m-2", "a", false);
     for n in 0..3 {
--- a/src/scheduler/stories/orders.rs
+++ b/src/scheduler/scenarios/orders.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn a_job_is_placed_on_low_ids_run_and_done() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for name in ["m-3", "m-1", "m-2"] {
         t.worker(name, "a", false);
     }
@@ -29,7 +29,7 @@
 
 #[test]
 fn a_start_is_told_only_after_its_placement_is_written() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     t.submit(spec("j-1", 1));
     t.s.round(t.now);
@@ -48,7 +48,7 @@
 
 #[test]
 fn a_lost_answer_is_repeated_with_the_same_attempt_and_a_doubled_report_gets_nothing() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     t.submit(spec("j-1", 1));
     t.round();
@@ -65,7 +65,7 @@
 
 #[test]
 fn a_finish_is_cleared_only_after_it_is_written() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     t.submit(spec("j-1", 1));
     t.round();
@@ -83,7 +83,7 @@
 
 #[test]
 fn a_cancelled_job_is_stopped_at_once_and_never_started_again() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     let job = t.submit(spec("j-1", 4));
     t.round();
@@ -106,7 +106,7 @@
 
 #[test]
 fn a_cancellation_that_beats_the_write_takes_the_placement_back() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     let job = t.submit(spec("j-1", 1));
     t.s.round(t.now);
@@ -122,7 +122,7 @@
 
 #[test]
 fn a_machine_that_cannot_be_told_of_a_cancellation_goes_back_in_time() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     let job = t.submit(spec("j-1", 1));
     t.round();
@@ -139,7 +139,7 @@
 
 #[test]
 fn a_stopped_task_counts_towards_the_limit_until_it_is_gone() {
-    let mut t = Story::new(2.0);
+    let mut t = Scenario::new(2.0);
     t.worker("m-1", "a", false);
     t.worker("m-2", "a", false);
     let first = t.submit(spec("j-1", 2));
@@ -161,7 +161,7 @@
 
 #[test]
 fn spread_and_together_hold_for_every_task_that_may_be_there() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 0..4 {
         t.worker(&format!("m-a{i}"), "a", false);
     }
@@ -176,7 +176,7 @@
     });
     t.round();
     t.beat_all();
-    let in_zone = |t: &Story, job: &str, zone: &str| -> usize {
+    let in_zone = |t: &Scenario, job: &str, zone: &str| -> usize {
         let there = t.workers.values().filter(|w| w.zone == zone);
         there
             .flat_map(|w| w.tasks.keys())
@@ -190,7 +190,7 @@
 
 #[test]
 fn a_notice_sends_saving_tasks_away_and_takes_no_more() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", true);
     t.worker("m-2", "a", true);
     t.submit(spec("j-1", 1));
@@ -206,7 +206,7 @@
 
 #[test]
 fn a_hundred_thousand_tasks_fit_into_values_and_transactions() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 0..40 {
         t.worker(&format!("m-{i:06}"), "a", false);
     }
@@ -236,7 +236,7 @@
 
 #[test]
 fn a_running_task_without_placement_is_adopted_not_started_elsewhere() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     t.worker("m-2", "a", false);
     let stray = ("j-1/0".to_owned(), 5);
@@ -257,7 +257,7 @@
 // Guards against gangs whose tasks wait for each other in vain: they find each other by their common attempt.
 #[test]
 fn a_gang_starts_whole_with_one_attempt_and_again_whole_when_it_lost_a_member() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     let gang = JobSpec {
         shape: Shape::Gang,
         together: true,
@@ -273,7 +273,7 @@
     t.wait(1);
     t.round();
     t.beat_all();
-    let attempts = |t: &Story| -> Vec<u64> {
+    let attempts = |t: &Scenario| -> Vec<u64> {
         let tasks = t.workers.values().flat_map(|w| w.tasks.iter());
         tasks
             .filter(|(_, s)| s.0 == TaskState::Running)
@@ -299,8 +299,8 @@
 // Guards against tasks that wait for the end of a cut on machines beyond it, while machines on this side have room.
 #[test]
 fn what_was_not_sent_to_a_machine_out_of_touch_goes_elsewhere() {
-    let mut t = Story::new(0.0);
-    t.s.knobs.idle = Some(Micros::secs(10_000));
+    let mut t = Scenario::new(0.0);
+    t.s.config.idle = Some(Micros::secs(10_000));
     t.worker("m-1", "b", false);
     t.worker("m-2", "a", false);
     t.submit(spec("j-1", 2));
@@ -308,7 +308,7 @@
     assert_eq!(t.free_of("m-1"), 0);
     for _ in 0..3 {
         t.wait(2);
-        t.s.on_heard("n-2", &[MachineId("m-1".into())], t.now);
+        t.s.on_contact("n-2", &[MachineId("m-1".into())], t.now);
         t.beat("m-2");
         assert!(t.s.plan_fleet(t.now, 0).give_back.is_empty());
     }
@@ -326,7 +326,7 @@
 // Guards against what matters less taking the writes that users and workers wait for.
 #[test]
 fn where_writes_are_short_images_and_old_records_wait() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     let job = t.submit(spec("j-1", 1));
     t.round();
@@ -358,7 +358,7 @@
 // Guards against a machine whose report is longer than a body may be.
 #[test]
 fn a_machine_holds_no_more_tasks_than_a_report_can_name() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", true);
     let tiny = JobSpec {
         cores: 0.01,
@@ -390,7 +390,7 @@
 // Guards against a swarm of tiny jobs using up the changes that everything else needs.
 #[test]
 fn a_job_of_one_task_costs_few_changes_and_ends_in_one_step() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", true);
     let job = t.submit(spec("j-1", 1));
     t.beat("m-1");
@@ -418,7 +418,7 @@
 // Guards against a critical task's placement that waits behind a guest's tens of thousands.
 #[test]
 fn what_is_critical_is_written_first() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 1..=30 {
         t.worker(&format!("m-{i:02}"), "a", false);
     }
--- a/src/scheduler/stories/recovery.rs
+++ b/src/scheduler/scenarios/recovery.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn a_new_leader_does_not_take_absence_for_proof_until_its_token_was_seen() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     t.submit(spec("j-1", 1));
     t.round();
@@ -36,7 +36,7 @@
 
 #[test]
 fn a_new_leader_frees_what_is_absent_under_its_own_token() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     t.submit(spec("j-1", 1));
     t.round();
@@ -54,7 +54,7 @@
 
 #[test]
 fn after_a_restart_of_all_controllers_nothing_runs_twice_and_nothing_is_lost() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     t.worker("m-2", "b", false);
     t.submit(spec("j-1", 4));
@@ -76,7 +76,7 @@
 // Guards against slow starts after a change of leader, when nobody knew any more which machine had which image.
 #[test]
 fn a_new_leader_knows_which_machine_has_an_image() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-2", "a", false);
     let first = t.submit(spec("j-1", 1));
     t.round();
@@ -105,7 +105,7 @@
 // what was on its way to the old session is not taken for started, and one such return is no deafness.
 #[test]
 fn a_machine_back_at_once_under_a_new_session_starts_its_tasks_again() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     t.submit(spec("j-1", 2));
     t.round();
@@ -131,11 +131,11 @@
 // Guards against a new leader that rents anew what runs already, and against one that waits though it heard all.
 #[test]
 fn a_new_leader_rents_once_it_has_heard_what_is_up() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.take_over(TOKEN + 1);
     let up = Listed {
         machine: MachineId("m-1".into()),
-        rig: "rig".into(),
+        machine_type: "rig".into(),
         zone: "a".into(),
         spot: false,
         status: ListedStatus::Running,
@@ -163,13 +163,13 @@
 // Guards against tasks that wait for machines which the leader before gave back, though its note of them still stands.
 #[test]
 fn a_new_leader_does_not_count_on_what_should_long_be_up() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     let pool = Pool {
-        rig: "rig".into(),
+        machine_type: "rig".into(),
         zone: "a".into(),
         spot: true,
     };
-    let rents = |t: &mut Story, age: u64| {
+    let rents = |t: &mut Scenario, age: u64| {
         t.take_over(t.s.token() + 1);
         t.s.on_list(&[], t.now);
         let noted = [MachineId("m-1".into())];
@@ -186,9 +186,9 @@
 // it then waits for other late machines of these zones, and rents elsewhere first.
 #[test]
 fn what_an_earlier_leader_rented_and_the_list_lacks_is_no_late_boot() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     let pool = Pool {
-        rig: "rig".into(),
+        machine_type: "rig".into(),
         zone: "a".into(),
         spot: true,
     };
@@ -215,7 +215,7 @@
 // Guards against a job said to be done too early, or run again, because its tasks end under one leader each.
 #[test]
 fn tasks_that_end_far_apart_over_changes_of_leader_are_done_once_all_are() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 0..3 {
         t.worker(&format!("m-{i}"), "a", false);
     }
--- a/src/scheduler/stories/turns.rs
+++ b/src/scheduler/scenarios/turns.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn a_critical_task_takes_the_place_of_a_low_one_and_keeps_it() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     t.submit(spec("j-1", 3));
     t.round();
@@ -25,7 +25,7 @@
 
 #[test]
 fn low_work_never_stops_critical_work() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.worker("m-1", "a", false);
     t.submit(JobSpec {
         class: "other".into(),
@@ -44,11 +44,11 @@
 
 #[test]
 fn an_overload_is_offered_to_samples_and_the_round_stays_bounded() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 0..200 {
         t.worker(&format!("m-{i:06}"), "a", false);
     }
-    t.s.knobs.offers_per_round = 5_000;
+    t.s.config.offers_per_round = 5_000;
     for i in 0..2_000 {
         // There is room for them, but no machine of their zone.
         t.submit(JobSpec {
@@ -69,8 +69,8 @@
 // Guards against two jobs within their guarantees taking one place from each other every few seconds.
 #[test]
 fn a_guarantee_is_taken_from_what_is_lent_but_not_from_another_guarantee() {
-    let mut t = Story::new(0.0);
-    t.s.knobs.guarantee_within = Some(Micros::secs(15));
+    let mut t = Scenario::new(0.0);
+    t.s.config.guarantee_within = Some(Micros::secs(15));
     for name in ["one", "two"] {
         t.s.teams
             .insert(name.into(), TeamShare::new(0.0, 0.0, 1.0, 0.0));
@@ -101,7 +101,7 @@
 // Guards against work with a deadline being stopped, or left waiting, though other work has time to spare.
 #[test]
 fn what_is_due_first_goes_first_and_is_stopped_last() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     let due = |id: &str, due_s: f64| JobSpec {
         due_s: Some(due_s),
         spot: false,
@@ -115,10 +115,10 @@
     t.wait(1);
     t.beat("m-1");
     t.beat("m-1");
-    let on = |t: &Story, id: &str| t.s.jobs[&JobId(id.into())].live;
+    let on = |t: &Scenario, id: &str| t.s.jobs[&JobId(id.into())].live;
     assert_eq!((on(&t, "j-1"), on(&t, "j-2"), on(&t, "j-3")), (0, 1, 1));
     // Now two with ample and with little time run, and a service takes the place of the one with ample time.
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     t.submit(due("j-1", 80.0));
     t.submit(due("j-2", 500.0));
     t.worker("m-1", "a", false);
@@ -139,7 +139,7 @@
 #[test]
 fn what_a_stop_would_make_late_is_not_stopped_only_to_spare_a_fetch() {
     let stopped = |due_s: f64| {
-        let mut t = Story::new(0.0);
+        let mut t = Scenario::new(0.0);
         t.submit(JobSpec {
             due_s: Some(due_s),
             spot: false,
@@ -174,7 +174,7 @@
 // Guards against rounds whose work follows the size of the fleet and of the queue, not what changed and what has room.
 #[test]
 fn a_round_of_a_large_fleet_is_bounded_and_costs_nothing_where_nothing_has_room() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 0..2_000 {
         t.worker(&format!("m-{i:06}"), ["a", "b"][i % 2], false);
     }
@@ -184,7 +184,7 @@
     t.wait(1);
     let before = t.revision;
     t.s.round(t.now);
-    let most = 2 * t.s.knobs.offers_per_round;
+    let most = 2 * t.s.config.offers_per_round;
     assert!(t.s.offers_made <= most, "{} offers", t.s.offers_made);
     t.commit();
     // Twenty jobs' placements go into one transaction.
@@ -252,10 +252,10 @@
 
 /// Lets small jobs come as fast as small tasks end, one task a second, and says after how many seconds a task of the
 /// large job runs.
-fn begins_among_small_ones(t: &mut Story, small: &JobSpec, large: JobSpec) -> u64 {
-    t.s.knobs.idle = Some(Micros::secs(10_000));
+fn begins_among_small_ones(t: &mut Scenario, small: &JobSpec, large: JobSpec) -> u64 {
+    t.s.config.idle = Some(Micros::secs(10_000));
     let mut next = 0;
-    let mut small_job = |t: &mut Story| {
+    let mut small_job = |t: &mut Scenario| {
         next += 1;
         let id = JobId(format!("j-{next:04}"));
         t.submit(JobSpec {
@@ -304,21 +304,21 @@
         ..spec("j-9999", 1)
     };
     // It needs a whole machine, and machines are never empty.
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 0..3 {
         t.worker(&format!("m-{i}"), "a", false);
     }
     let waited = begins_among_small_ones(&mut t, &small, large.clone());
     assert!(waited < 120, "{waited} s for a machine");
     // Its team is always at its limit.
-    let mut t = Story::new(4.0);
+    let mut t = Scenario::new(4.0);
     for i in 0..6 {
         t.worker(&format!("m-{i}"), "a", false);
     }
     let waited = begins_among_small_ones(&mut t, &small, large.clone());
     assert!(waited < 120, "{waited} s for the team");
     // Its tasks may only be in a zone whose machines are always taken.
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 0..4 {
         t.worker(&format!("m-{i}"), ["a", "b"][i % 2], false);
     }
@@ -329,7 +329,7 @@
     let waited = begins_among_small_ones(&mut t, &small, bound);
     assert!(waited < 120, "{waited} s for a zone");
     // All its tasks must run together, in one zone.
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 0..6 {
         t.worker(&format!("m-{i}"), ["a", "b"][i % 2], false);
     }
@@ -342,7 +342,7 @@
     let waited = begins_among_small_ones(&mut t, &small, gang);
     assert!(waited < 240, "{waited} s for a gang");
     // A service at its share of one zone waits for the other, where small tasks of its own size come and go.
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 0..4 {
         t.worker(&format!("m-{i}"), ["a", "b"][i % 2], false);
     }
@@ -361,7 +361,7 @@
 #[test]
 fn a_slow_fetch_is_spread_over_machines_where_there_are_many() {
     let used = |machines: usize| {
-        let mut t = Story::new(0.0);
+        let mut t = Scenario::new(0.0);
         for i in 0..machines {
             t.worker(&format!("m-{i:04}"), "a", false);
         }
@@ -380,7 +380,7 @@
 
 #[test]
 fn what_cannot_be_in_time_gives_way_but_not_for_ever() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     let due = |id: &str, due_s: f64| JobSpec {
         due_s: Some(due_s),
         ..spec(id, 1)
@@ -389,8 +389,8 @@
     let late = t.submit(due("j-1", 50.0));
     let fair = t.submit(due("j-2", 90.0));
     let ample = t.submit(due("j-3", 1_000.0));
-    let order = |t: &mut Story, at_s: u64| {
-        t.s.wall = Micros::secs(at_s).0;
+    let order = |t: &mut Scenario, at_s: u64| {
+        t.s.unix_time = Micros::secs(at_s).0;
         let mut jobs: Vec<&Job> = t.s.jobs.values().collect();
         t.s.sort_by_turn(&mut jobs);
         let ids = jobs.iter().map(|j| j.spec.id.clone());
@@ -421,7 +421,7 @@
 // Guards against spare-time work in thousands of tasks that goes before all that has a deadline, because it came first.
 #[test]
 fn what_has_no_deadline_goes_behind_what_has_one() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 0..4 {
         t.worker(&format!("m-{i}"), "a", true);
     }
@@ -432,7 +432,7 @@
     };
     t.submit(dated);
     t.beat_all();
-    let on = |t: &Story, job: &str| {
+    let on = |t: &Scenario, job: &str| {
         let tasks = t.workers.values().flat_map(|w| w.tasks.keys());
         tasks.filter(|(take, _)| take.starts_with(job)).count()
     };
@@ -443,7 +443,7 @@
 // Guards against processors used up beside free accelerators, which are paid for and of no use then.
 #[test]
 fn work_without_accelerators_leaves_what_the_free_ones_need() {
-    let mut t = Story::new(0.0);
+    let mut t = Scenario::new(0.0);
     for i in 0..3 {
         t.worker(&format!("m-{i}"), "a", false);
     }
--- /dev/null
+++ b/src/scheduler/writes.rs
@@ -0,0 +1,344 @@
+//! What is to be written down, in batches, and what becomes of a batch.
+//!
+//! Only one batch is under way at a time; the controller reports its outcome before it asks for the next.
+
+use super::Scheduler;
+use super::ids::{JobId, MachineId};
+use super::machine::CachedImage;
+use super::records::{CHUNK, ChunkRecord};
+use crate::units::Micros;
+
+/// Most changes of one write, those that remove records aside.
+const MOST_OPS: usize = 3;
+/// Where writes are short, finishes wait so long for others of their job.
+const FINISHES_WAIT: Micros = Micros::secs(10);
+/// Machines whose images go into one batch.
+const IMAGES_PER_BATCH: usize = 4;
+
+/// Something to be written down, conditional on the leader key.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Write {
+    /// A chunk's record.
+    Chunk {
+        /// The job.
+        job: JobId,
+        /// The chunk's number.
+        chunk: u32,
+        /// Its record.
+        record: ChunkRecord,
+        /// The version that it replaces.
+        version: u64,
+        /// Whether tasks are newly placed by it, so that the job must not be over.
+        places: bool,
+    },
+    /// The end of a job whose tasks are all finished.
+    Done {
+        /// The job.
+        job: JobId,
+        /// Its number of tasks.
+        tasks: u32,
+    },
+    /// The end of a job of one chunk with its last finishes, which leaves nothing else of it.
+    Whole {
+        /// The job.
+        job: JobId,
+        /// Its number of tasks.
+        tasks: u32,
+        /// The version of its chunk, which goes.
+        version: u64,
+    },
+    /// The images that a machine has, for the next leader; none: the machine is gone.
+    Images {
+        /// The machine.
+        machine: MachineId,
+        /// Its images with their sizes.
+        images: Option<Vec<CachedImage>>,
+    },
+    /// Removal of the records of a job that is over and has no task left.
+    Forget {
+        /// The job.
+        job: JobId,
+        /// Its chunks with their versions.
+        chunks: Vec<(u32, u64)>,
+        /// Whether these are the last ones, so that the submission's record goes as well.
+        whole: bool,
+    },
+}
+
+impl Write {
+    /// How many puts and deletes it takes.
+    pub fn ops(&self) -> usize {
+        match self {
+            Write::Chunk { .. } | Write::Done { .. } | Write::Images { .. } => 1,
+            Write::Whole { version, .. } => 2 + usize::from(*version > 0),
+            Write::Forget { chunks, whole, .. } => chunks.len() + usize::from(*whole),
+        }
+    }
+
+    /// The job it concerns, if any.
+    pub fn job(&self) -> Option<&JobId> {
+        match self {
+            Write::Chunk { job, .. }
+            | Write::Done { job, .. }
+            | Write::Whole { job, .. }
+            | Write::Forget { job, .. } => Some(job),
+            Write::Images { .. } => None,
+        }
+    }
+}
+
+impl Scheduler {
+    /// What is to be written next, at most `ops` puts and deletes and about `bytes`; where writes are `short` only what
+    /// users and workers wait for.
+    ///
+    /// Only one batch may be under way: its outcome must be told before the next is asked for.
+    pub fn next_batch(&mut self, ops: usize, bytes: usize, short: bool) -> Vec<Write> {
+        let mut batch = Vec::new();
+        let mut left = ops;
+        let mut size = 0;
+        let mut later = Vec::new();
+        while left >= MOST_OPS && size < bytes {
+            let Some(place) = self.dirty.pop_first() else {
+                break;
+            };
+            if short && self.can_wait(&place.1, place.2) {
+                later.push(place);
+                continue;
+            }
+            let (_, id, number) = place;
+            if let Some(whole) = self.whole_end(&id) {
+                left -= whole.ops();
+                batch.push(whole);
+                continue;
+            }
+            let Some(chunk) = self
+                .jobs
+                .get_mut(&id)
+                .and_then(|j| j.chunks.get_mut(&number))
+            else {
+                continue;
+            };
+            if !chunk.dirty {
+                continue;
+            }
+            chunk.dirty = false;
+            let record = chunk.record();
+            size += 200 + record.live.len() * 40;
+            left -= 1;
+            batch.push(Write::Chunk {
+                places: chunk.live.values().any(|p| !p.committed),
+                job: id,
+                chunk: number,
+                record,
+                version: chunk.version,
+            });
+        }
+        self.dirty.extend(later);
+        self.add_ends(&mut batch, &mut left);
+        if short {
+            return batch;
+        }
+        self.add_images(&mut batch, &mut left);
+        if batch.is_empty() {
+            self.add_forgets(&mut batch, left);
+        }
+        batch
+    }
+
+    /// Whether nobody waits for a chunk's changes: its job goes on, nothing is newly placed, and it changed just now.
+    ///
+    /// Guards against the finishes of many short tasks, each written by itself, that use up the writes for which starts
+    /// wait. What is not written yet still stands in the workers' reports, as it is not cleared before.
+    fn can_wait(&self, id: &JobId, number: u32) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let Some(chunk) = job.chunks.get(&number) else {
+            return false;
+        };
+        !job.ending
+            && job.done < job.spec.tasks
+            && chunk.live.values().all(|p| p.committed)
+            && self.latest.since(chunk.changed_at) < FINISHES_WAIT
+    }
+
+    /// The end of a job of one chunk whose tasks are all finished, with nothing left of it: three changes in place of five,
+    /// as users may submit jobs of one task by the thousand.
+    fn whole_end(&mut self, id: &JobId) -> Option<Write> {
+        let job = self.jobs.get_mut(id)?;
+        let finished = job.done == job.spec.tasks && job.live == 0;
+        if !finished || job.ending || job.spec.tasks > CHUNK {
+            return None;
+        }
+        let chunk = job.chunks.get_mut(&0).filter(|c| c.dirty)?;
+        chunk.dirty = false;
+        job.ending = true;
+        Some(Write::Whole {
+            job: id.clone(),
+            tasks: job.spec.tasks,
+            version: chunk.version,
+        })
+    }
+
+    /// Images seen on machines, a few at a time as they matter least.
+    fn add_images(&mut self, batch: &mut Vec<Write>, left: &mut usize) {
+        let mut room = IMAGES_PER_BATCH.min(*left);
+        while room > 0 {
+            let Some(machine) = self.new_images.pop_first() else {
+                return;
+            };
+            let images = match self.machines.get_mut(&machine) {
+                Some(m) if m.images_are_written() => continue,
+                Some(m) => {
+                    m.written_images = m.image_names();
+                    Some(m.images.clone())
+                }
+                None => None,
+            };
+            room -= 1;
+            *left -= 1;
+            batch.push(Write::Images { machine, images });
+        }
+    }
+
+    /// What an earlier leader knew of a machine's images.
+    pub fn inherit_images(&mut self, machine: &MachineId, images: &[CachedImage]) {
+        self.known_images.insert(machine.clone(), images.to_vec());
+    }
+
+    /// Ends of jobs whose every finish is written.
+    fn add_ends(&mut self, batch: &mut Vec<Write>, left: &mut usize) {
+        for id in &self.finished {
+            if *left == 0 {
+                return;
+            }
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            let written: u32 = job
+                .chunks
+                .values()
+                .map(|c| c.finished_committed.count_ones())
+                .sum();
+            if !job.ending && written == job.spec.tasks {
+                job.ending = true;
+                *left -= 1;
+                batch.push(Write::Done {
+                    job: id.clone(),
+                    tasks: job.spec.tasks,
+                });
+            }
+        }
+    }
+
+    /// Removal of what nobody needs any more, when there is nothing else to write.
+    fn add_forgets(&mut self, batch: &mut Vec<Write>, ops: usize) {
+        let mut left = ops;
+        for id in &self.over {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            let mut chunks: Vec<(u32, u64)> = job
+                .chunks
+                .iter()
+                .filter(|(_, c)| c.version > 0)
+                .map(|(n, c)| (*n, c.version))
+                .collect();
+            // A large job's chunks go in several steps; its own record goes last.
+            let whole = chunks.len() < ops;
+            chunks.truncate(ops.saturating_sub(1));
+            let write = Write::Forget {
+                job: id.clone(),
+                chunks,
+                whole,
+            };
+            if write.ops() > left {
+                return;
+            }
+            left -= write.ops();
+            batch.push(write);
+        }
+    }
+
+    /// A batch was applied at this revision.
+    pub fn batch_applied(&mut self, batch: &[Write], version: u64) {
+        for write in batch {
+            match write {
+                Write::Chunk {
+                    job, chunk, record, ..
+                } => self.chunk_applied(job, *chunk, record, version),
+                Write::Done { job, .. } => {
+                    self.finished.remove(job);
+                }
+                Write::Whole { job, .. } => {
+                    self.finished.remove(job);
+                    self.forget_applied(job, &[], true);
+                }
+                Write::Images { .. } => {}
+                Write::Forget { job, chunks, whole } => self.forget_applied(job, chunks, *whole),
+            }
+        }
+    }
+
+    fn chunk_applied(&mut self, id: &JobId, number: u32, record: &ChunkRecord, version: u64) {
+        let Some(chunk) = self
+            .jobs
+            .get_mut(id)
+            .and_then(|j| j.chunks.get_mut(&number))
+        else {
+            return;
+        };
+        chunk.version = version;
+        chunk.finished_committed = record.finished;
+        for (i, _, attempt) in &record.live {
+            if let Some(p) = chunk.live.get_mut(i)
+                && p.attempt == *attempt
+            {
+                p.committed = true;
+            }
+        }
+    }
+
+    fn forget_applied(&mut self, id: &JobId, chunks: &[(u32, u64)], whole: bool) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        for (number, _) in chunks {
+            job.chunks.remove(number);
+        }
+        if whole {
+            self.jobs.remove(id);
+            self.over.remove(id);
+            self.dirty.retain(|(_, job, _)| job != id);
+        }
+    }
+
+    /// A batch was certainly not applied.
+    pub fn batch_dropped(&mut self, batch: &[Write]) {
+        for write in batch {
+            match write {
+                Write::Chunk { job, chunk, .. } => {
+                    self.note_change(job, *chunk);
+                }
+                Write::Whole { job, .. } => {
+                    if let Some(j) = self.jobs.get_mut(job) {
+                        j.ending = j.end.is_some();
+                    }
+                    self.note_change(job, 0);
+                }
+                Write::Done { job, .. } => {
+                    if let Some(j) = self.jobs.get_mut(job) {
+                        j.ending = j.end.is_some();
+                    }
+                }
+                Write::Images { machine, .. } => {
+                    if let Some(m) = self.machines.get_mut(machine) {
+                        m.written_images.clear();
+                    }
+                    self.new_images.insert(machine.clone());
+                }
+                Write::Forget { .. } => {}
+            }
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -137,7 +137,7 @@
 
 /// What a watch answered.
 #[derive(Debug, Deserialize)]
-pub struct News {
+pub struct WatchResponse {
     /// All changes up to this revision are told.
     #[serde(rename = "epoch")]
     pub revision: u64,
@@ -363,7 +363,12 @@
     }
 
     /// Waits for changes after `from`.
-    pub async fn watch(&self, prefix: &str, from: u64, wait: Micros) -> Result<News, StateError> {
+    pub async fn watch(
+        &self,
+        prefix: &str,
+        from: u64,
+        wait: Micros,
+    ) -> Result<WatchResponse, StateError> {
         self.pace(Urgency::Paced, 0).await;
         let path = format!(
             "/watch?prefix={prefix}&from={from}&waitMs={}",
--- a/src/store.rs
+++ b/src/store.rs
@@ -3,7 +3,7 @@
 use crate::clock::{Clock, sleep};
 use crate::http::within;
 use crate::scheduler::{
-    CachedImage, ChunkRecord, End, Final, Flavor, JobId, JobRecord, MachineId, Pool,
+    CachedImage, ChunkRecord, End, Final, JobId, JobRecord, MachineId, MachineType, Pool,
 };
 use crate::state::{Event as KeyEvent, State, StateError, Urgency};
 use crate::units::Micros;
@@ -23,7 +23,7 @@
 /// The last token, without a lease.
 pub const TERM: &str = "r/term";
 /// The machine types.
-pub const FLAVORS: &str = "r/flavors";
+pub const MACHINE_TYPES: &str = "r/flavors";
 /// The status of a cancelled job.
 pub const ABORTED: &str = "aborted";
 /// A key that never exists: reading it tells the current revision.
@@ -54,13 +54,13 @@
 }
 
 /// The keys under which a controller tells which machines it hears, as many as one value can't hold.
-pub fn heard_key(node: &str, part: usize) -> String {
+pub fn contacts_key(node: &str, part: usize) -> String {
     format!("r/heard/{node}/{part}")
 }
 
 /// The key of a rental request, by its name.
-pub fn rental_key(charter: &str) -> String {
-    format!("r/rental/{charter}")
+pub fn rental_key(request_name: &str) -> String {
+    format!("r/rental/{request_name}")
 }
 
 /// The key of the images that a machine has.
@@ -94,7 +94,7 @@
     /// Where it rents.
     pub fn pool(&self) -> Pool {
         Pool {
-            rig: self.rental.rig.clone(),
+            machine_type: self.rental.machine_type.clone(),
             zone: self.rental.zone.clone(),
             spot: self.rental.spot,
         }
@@ -112,15 +112,15 @@
 
 /// What a change of the view means to its readers.
 #[derive(Debug, Clone, PartialEq)]
-pub enum Seen {
+pub enum ViewChange {
     /// A job was accepted.
     Job(JobId),
     /// A job is over.
     End(JobId),
     /// A controller tells which machines it hears.
-    Heard(String, Vec<MachineId>),
+    Contacts(String, Vec<MachineId>),
     /// The machine types were written.
-    Flavors,
+    MachineTypes,
 }
 
 /// All keys, as of a revision.
@@ -145,7 +145,7 @@
     /// Recent rental requests by their names.
     pub rentals: BTreeMap<String, RentalRecord>,
     /// The machine types.
-    pub flavors: Option<Versioned<Vec<Flavor>>>,
+    pub machine_types: Option<Versioned<Vec<MachineType>>>,
 }
 
 /// A job's state as users are told it.
@@ -164,7 +164,12 @@
 
 impl View {
     /// A key was written.
-    pub fn put(&mut self, key: &str, value: Value, version: u64) -> Result<Option<Seen>, String> {
+    pub fn put(
+        &mut self,
+        key: &str,
+        value: Value,
+        version: u64,
+    ) -> Result<Option<ViewChange>, String> {
         fn parse<T: for<'a> Deserialize<'a>>(value: Value) -> Result<T, String> {
             serde_json::from_value(value).map_err(|e| e.to_string())
         }
@@ -173,12 +178,12 @@
             let id = JobId::parse(id).ok_or("bad job id")?;
             let value = parse(value)?;
             self.jobs.insert(id.clone(), Versioned { value, version });
-            return Ok(Some(Seen::Job(id)));
+            return Ok(Some(ViewChange::Job(id)));
         }
         if let Some(id) = rest.strip_prefix("end/") {
             let id = JobId::parse(id).ok_or("bad job id")?;
             self.ends.insert(id.clone(), parse(value)?);
-            return Ok(Some(Seen::End(id)));
+            return Ok(Some(ViewChange::End(id)));
         }
         if let Some(run) = rest.strip_prefix("run/") {
             let (id, chunk) = split_run(run).ok_or("bad chunk key")?;
@@ -194,13 +199,13 @@
                 .insert(MachineId(machine.to_owned()), parse(value)?);
             return Ok(None);
         }
-        if let Some(charter) = rest.strip_prefix("rental/") {
-            self.rentals.insert(charter.to_owned(), parse(value)?);
+        if let Some(request_name) = rest.strip_prefix("rental/") {
+            self.rentals.insert(request_name.to_owned(), parse(value)?);
             return Ok(None);
         }
         if let Some(node) = rest.strip_prefix("heard/") {
             let node = node.split('/').next().unwrap_or_default();
-            return Ok(Some(Seen::Heard(node.to_owned(), parse(value)?)));
+            return Ok(Some(ViewChange::Contacts(node.to_owned(), parse(value)?)));
         }
         match key {
             LEADER => {
@@ -208,10 +213,10 @@
                 self.leader = Some(Versioned { value, version });
             }
             TERM => self.term = version,
-            FLAVORS => {
+            MACHINE_TYPES => {
                 let value = parse(value)?;
-                self.flavors = Some(Versioned { value, version });
-                return Ok(Some(Seen::Flavors));
+                self.machine_types = Some(Versioned { value, version });
+                return Ok(Some(ViewChange::MachineTypes));
             }
             _ => return Err("unknown key".into()),
         }
@@ -238,8 +243,8 @@
             }
         } else if let Some(machine) = rest.strip_prefix("images/") {
             self.images.remove(&MachineId(machine.to_owned()));
-        } else if let Some(charter) = rest.strip_prefix("rental/") {
-            self.rentals.remove(charter);
+        } else if let Some(request_name) = rest.strip_prefix("rental/") {
+            self.rentals.remove(request_name);
         } else if key == LEADER && self.leader.as_ref().is_some_and(|l| l.version <= version) {
             self.leader = None;
         }
@@ -314,8 +319,8 @@
     /// Fires after every change of the view.
     pub changed: Event,
     /// What happened, kept only while somebody leads by it.
-    seen: RefCell<Option<Vec<Seen>>>,
-    /// Fires when there is something for [`Store::take_seen`].
+    seen: RefCell<Option<Vec<ViewChange>>>,
+    /// Fires when there is something for [`Store::take_changes`].
     pub news: Event,
     pause: Micros,
     kick: Event,
@@ -358,7 +363,7 @@
         self.answered.set(self.clock.now());
     }
 
-    /// Begins or ends the keeping of what happens for [`Store::take_seen`].
+    /// Begins or ends the keeping of what happens for [`Store::take_changes`].
     ///
     /// Guards against a follower keeping all that it ever saw, and against a new leader taking old signs of life for
     /// new ones.
@@ -367,7 +372,7 @@
     }
 
     /// What happened since the last call.
-    pub fn take_seen(&self) -> Vec<Seen> {
+    pub fn take_changes(&self) -> Vec<ViewChange> {
         let mut seen = self.seen.borrow_mut();
         seen.as_mut().map(std::mem::take).unwrap_or_default()
     }
@@ -464,7 +469,7 @@
         self.publish(seen);
     }
 
-    fn publish(&self, seen: Vec<Seen>) {
+    fn publish(&self, seen: Vec<ViewChange>) {
         if let Some(kept) = &mut *self.seen.borrow_mut()
             && !seen.is_empty()
         {
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -59,3 +59,30 @@
     view.delete("r/run/j-1", 3);
     assert!(!view.knows(&id("j-1")));
 }
+
+// Guards against a rolling upgrade in which one release can't read what the other wrote: whatever the fields are called in the
+// code, records are read and written under the names that earlier releases stored.
+#[test]
+fn records_keep_the_names_under_which_earlier_releases_stored_them() {
+    let rental = json!({"rental": {"charter": "r-7-0", "rig": "g8", "zone": "a", "spot": true, "count": 2},
+        "machines": ["m-1"], "at": 5});
+    let read: RentalRecord = serde_json::from_value(rental.clone()).expect("a rental");
+    assert_eq!(read.rental.request_name, "r-7-0");
+    assert_eq!(json!(read), rental);
+    let types = json!([{"label": "g8", "cores": 16.0, "cards": 2.0, "ramGb": 128.0, "localGb": 100.0, "fetchGbPerS": 0.5,
+        "rate": 6.0, "lowPrice": 2.0, "bootS": 40.0, "yards": ["a"]}]);
+    let read: Vec<MachineType> = serde_json::from_value(types.clone()).expect("machine types");
+    assert_eq!(json!(read), types);
+    let submitted = job("j-1");
+    let read: JobRecord = serde_json::from_value(submitted.clone()).expect("a job");
+    assert_eq!(json!(read), submitted);
+    let chunk = json!({"f": "1", "a": 2, "l": [[1, "m-1", 2]]});
+    let read: ChunkRecord = serde_json::from_value(chunk.clone()).expect("a chunk");
+    assert_eq!(json!(read), chunk);
+    let end = json!({"how": "aborted", "at": 9, "done": 3});
+    let read: End = serde_json::from_value(end.clone()).expect("an end");
+    assert_eq!(json!(read), end);
+    assert_eq!(MACHINE_TYPES, "r/flavors");
+    assert_eq!(contacts_key("n-1", 0), "r/heard/n-1/0");
+    assert_eq!(rental_key("r-7-0"), "r/rental/r-7-0");
+}
--- a/src/users.rs
+++ b/src/users.rs
@@ -4,7 +4,7 @@
 use crate::clock::sleep;
 use crate::controller::Node;
 use crate::http::{Call, Reply};
-use crate::scheduler::{End, Final, Flavor, JobId, JobRecord, JobSpec, Shape, TeamShare};
+use crate::scheduler::{End, Final, JobId, JobRecord, JobSpec, MachineType, Shape, TeamShare};
 use crate::state::{Change, Condition, Outcome, StateError};
 use crate::store::{ABORTED, end_key, job_key};
 use crate::units::{Micros, Room};
@@ -61,10 +61,10 @@
     }
     {
         let view = node.store.view.borrow();
-        let Some(flavors) = &view.flavors else {
+        let Some(machine_types) = &view.machine_types else {
             return Reply::later(503, "machine types not known yet", SOON);
         };
-        if let Err(reason) = admissible(&spec, &flavors.value, &node.teams) {
+        if let Err(reason) = admissible(&spec, &machine_types.value, &node.teams) {
             return Reply::error(422, reason);
         }
         if view.jobs.len() >= node.admission_cap && view.active_jobs() >= node.admission_cap {
@@ -73,7 +73,7 @@
     }
     let record = JobRecord {
         spec: Rc::new(spec),
-        at: node.clock.wall(),
+        at: node.clock.unix_time(),
     };
     let value = json!(record);
     let limit = node.platform.facts.state.value_kb * 1024.0;
@@ -98,12 +98,12 @@
 /// Whether the job can run at all.
 fn admissible(
     spec: &JobSpec,
-    flavors: &[Flavor],
+    machine_types: &[MachineType],
     teams: &std::collections::BTreeMap<String, TeamShare>,
 ) -> Result<(), &'static str> {
     let team = teams.get(&spec.team).ok_or("unknown team")?;
     let need = spec.need();
-    let fits = flavors
+    let fits = machine_types
         .iter()
         .any(|f| f.room().holds(&need) && f.zones.iter().any(|z| spec.allows(&f.name, z, false)));
     if !fits {
@@ -178,7 +178,7 @@
     if ended(node).is_none() {
         let end = End {
             how: Final::Aborted,
-            at: node.clock.wall(),
+            at: node.clock.unix_time(),
             done: node.store.view.borrow().status(&id).map_or(0, |s| s.done),
         };
         // The one key that decides between done and aborted; whoever writes it first.
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -67,7 +67,7 @@
             if token == 0 || token < seen {
                 return Reply::error(503, "no leader within reach");
             }
-            node.note_heard(machine);
+            node.note_contact(machine);
             let orders = stops_of_cancelled(node, &report);
             Reply::json(200, &json!({"warrant": token, "orders": orders}))
         }
@@ -100,23 +100,23 @@
         return None;
     }
     let now = node.clock.now();
-    let heard = leading.scheduler.borrow_mut().on_report(report, via, now);
+    let outcome = leading.scheduler.borrow_mut().on_report(report, via, now);
     let unwritten = leading.scheduler.borrow().awaits_write(&report.machine);
-    if heard.fresh && (heard.changed || unwritten) {
+    if outcome.fresh && (outcome.changed || unwritten) {
         // What the report brought is written, and what it made room for is placed, before the worker is answered.
         leading.round_after_now().await;
     }
-    let orders = if heard.fresh && leading.may_order(node.clock.now()) {
+    let orders = if outcome.fresh && leading.may_order(node.clock.now()) {
         let at = (report.session, report.seq);
         let mut scheduler = leading.scheduler.borrow_mut();
         scheduler.orders_for(&report.machine, at, now)
-    } else if heard.fresh {
+    } else if outcome.fresh {
         stops_of_cancelled(node, report)
     } else {
         Vec::new()
     };
     let idle =
-        heard.fresh && !heard.changed && orders.is_empty() && report.token == leading.token();
+        outcome.fresh && !outcome.changed && orders.is_empty() && report.token == leading.token();
     let elsewhere = if via.is_empty() && idle && leading.scheduler.borrow_mut().sheds_worker() {
         node.neighbour_of(&report.zone)
     } else {
