--- a/src/scheduler/boots.rs
+++ b/src/scheduler/boots.rs
@@ -1,6 +1,11 @@
 //! How long new machines take to come up: which of those that are late are stuck, and which only as late as all are.
 
-use super::*;
+use super::Scheduler;
+use super::ids::MachineId;
+use super::machine::{Life, Machine};
+use super::machine_type::MachineType;
+use crate::units::Micros;
+use std::collections::{BTreeMap, VecDeque};
 
 /// In tenths of the usual boot time: nearly all machines are up by then.
 const USUAL: u64 = 17;
--- a/src/scheduler/consolidation.rs
+++ b/src/scheduler/consolidation.rs
@@ -1,9 +1,15 @@
 //! Consolidation: services that stand scattered over half-empty machines are moved together, one at a time, so that machines
 //! can go back. The ordinary path gathers load on low ids only as tasks come; services stay where they once were.
 
+use super::ids::{MachineId, TaskId};
+use super::job::{Job, StopReason};
+use super::job_spec::{JobSpec, Shape};
+use super::machine::{Life, Machine};
+use super::messages::TaskState;
 use super::offers::zone_takes;
 use super::reserve::Reserve;
-use super::*;
+use super::{Scheduler, spec_of};
+use crate::units::{Micros, Room};
 use std::collections::HashMap;
 
 /// Room must have been to spare for so long before a machine is consolidated.
@@ -51,7 +57,8 @@
     pub(super) fn plan_consolidation(&mut self, reserve: Option<&Reserve>, now: Micros) {
         // A task that is being moved waits as well; it must not end the consolidation that it comes from.
         let waits = |j: &Job| j.waiting() > 0 && j.moving_until <= now && !j.at_fault;
-        let waiting = self.jobs.values().any(waits);
+        self.count_steps(self.job_index.waiting_count() + self.jobs.len());
+        let waiting = self.open_jobs().any(waits);
         let services = self
             .jobs
             .values()
@@ -63,12 +70,16 @@
             .filter(|(_, m)| m.consolidating)
             .map(|(id, _)| id.clone())
             .collect();
-        let mut targets = self.targets();
         let mut under_way = 0;
-        let stuck: Vec<bool> = consolidating
-            .iter()
-            .map(|id| self.is_stuck(id, &mut targets))
-            .collect();
+        let stuck: Vec<bool> = if consolidating.is_empty() {
+            Vec::new()
+        } else {
+            let mut targets = self.targets();
+            let looks = consolidating
+                .iter()
+                .map(|id| self.is_stuck(id, &mut targets));
+            looks.collect()
+        };
         for (id, stuck) in consolidating.iter().zip(stuck) {
             let Some(m) = self.machines.get(id) else {
                 continue;
@@ -188,6 +199,7 @@
     }
 
     fn targets(&self) -> Targets<'_> {
+        self.count_steps(self.machines.len());
         let mut by_image: HashMap<&str, Vec<(&MachineId, &Machine)>> = HashMap::new();
         let with_room = |m: &Machine| m.takes_offers() && m.free().cores > 0;
         for (id, m) in self.machines.iter().filter(|(_, m)| with_room(m)) {
@@ -261,6 +273,7 @@
         let takes = |(id, other): &(&MachineId, &Machine)| {
             *id != from && in_time(other) && self.would_take(job, id, other, &need, &m.zone)
         };
+        self.count_steps(self.machines.len());
         let takers = self.machines.iter().filter(takes);
         let target = takers
             .max_by_key(|(_, m)| quiet(m))
@@ -270,7 +283,9 @@
         // The place is spoken for until the task has had time to come.
         job.moving_until = now + ARRIVES_WITHIN;
         job.claims.push((target, job.moving_until));
+        self.job_index.note_claimant(&task.job);
         job.placement_mut(task.index)?.stopping = Some(StopReason::Drained);
+        self.job_index.note_stopping(task.clone());
         self.details
             .push(format!("event=moving task={task} from={from}"));
         Some(task)
--- a/src/scheduler/failure_detection.rs
+++ b/src/scheduler/failure_detection.rs
@@ -1,6 +1,10 @@
 //! Who is out of touch, and since when: which silent machines are dead, and which are only out of reach.
 
-use super::*;
+use super::ids::{MachineId, TaskId};
+use super::machine::{Life, Machine};
+use super::{Controller, Scheduler};
+use crate::units::Micros;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Fewer machines than this may all have died by themselves.
 const DARK_FROM: usize = 8;
@@ -62,8 +66,9 @@
     closed_zones: BTreeSet<String>,
     /// When each controller last told by the state service which machines it hears.
     pub(super) told: BTreeMap<String, Micros>,
-    /// Ways, from the machines of a zone through a controller, that are stopped or were lately, and when that was last so.
-    stopped: BTreeMap<(String, String), Micros>,
+    /// Ways that are stopped or were lately, by the controller and then the zone of the machines, and when that was last
+    /// so.
+    stopped: BTreeMap<String, BTreeMap<String, Micros>>,
     /// Zones of which nothing is heard, or was not lately, and when that was last so.
     dark: BTreeMap<String, Micros>,
     /// Machines given up for their silence lately: when, zone and whether spot.
@@ -160,6 +165,7 @@
 
     /// Machines that are lost, silent or stuck are given back, as only then their tasks may run elsewhere.
     pub(super) fn give_up_lost(&mut self, now: Micros) {
+        self.count_steps(self.machines.len());
         self.look_at_boots(now);
         let mut give_up: Vec<(MachineId, &str)> = Vec::new();
         for (id, m) in &self.machines {
@@ -244,11 +250,14 @@
             let gaps = self.config.report.scaled(STOPPED_GAPS, *workers);
             now.since(*last) > STOPPED_AFTER + gaps
         });
-        let stopped = stopped.map(|((via, zone), _)| ((via.to_owned(), zone.to_owned()), now));
-        self.liveness.stopped.extend(stopped);
-        self.liveness
-            .stopped
-            .retain(|_, at| now.since(*at) < CUT_LINGERS);
+        for ((via, zone), _) in stopped {
+            let zones = self.liveness.stopped.entry(via.to_owned()).or_default();
+            zones.insert(zone.to_owned(), now);
+        }
+        self.liveness.stopped.retain(|_, zones| {
+            zones.retain(|_, at| now.since(*at) < CUT_LINGERS);
+            !zones.is_empty()
+        });
     }
 
     /// Notes the zones of which no machine is heard any more.
@@ -368,8 +377,8 @@
     }
 
     fn is_way_stopped(&self, m: &Machine) -> bool {
-        let way = (m.via.clone(), m.zone.clone());
-        self.liveness.stopped.contains_key(&way)
+        let zones = self.liveness.stopped.get(&m.via);
+        zones.is_some_and(|zones| zones.contains_key(&m.zone))
     }
 
     /// Notes which machines need not be heard now.
--- a/src/scheduler/fair.rs
+++ b/src/scheduler/fair.rs
@@ -3,8 +3,13 @@
 //! The ordinary path gives room to the first due job that fits, so that a job whose tasks need more than is ever free at
 //! once, on a machine, in its zone or within its team's limit, could wait for as long as smaller ones come.
 
-use super::*;
+use super::ids::{JobId, MachineId};
+use super::job::Job;
+use super::machine::Machine;
+use super::{Scheduler, spec_of};
+use crate::units::Micros;
 use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// A job that waits so long without a task placed is kept room for.
 const LONG: Micros = Micros::secs(30);
@@ -13,6 +18,9 @@
 /// Of so many machines one may be kept for a job.
 const MACHINES_PER_KEPT: usize = 50;
 
+/// About so many jobs, and the first ones always, look for a machine to be kept in one round.
+const SEARCHES: usize = 32;
+
 /// What is kept for jobs that wait long.
 #[derive(Debug, Default)]
 pub(super) struct Fair {
@@ -29,9 +37,9 @@
             let since = j.stuck_since?;
             (j.waiting() > 0 && now.since(since) >= LONG).then(|| now.since(since))
         };
+        self.count_steps(self.job_index.waiting_count());
         let mut long: Vec<(&Job, Micros)> = self
-            .jobs
-            .values()
+            .open_jobs()
             .filter_map(|j| Some((j, waits(j)?)))
             .collect();
         if long.is_empty() {
@@ -52,18 +60,33 @@
             }
         }
         self.fair.teams = teams;
+        self.fair.machines = self.machines_for(wanting);
+    }
+
+    /// The machines that are kept for these jobs, the first of which go before the others.
+    fn machines_for(&mut self, wanting: Vec<JobId>) -> BTreeMap<MachineId, JobId> {
         let mut machines = std::mem::take(&mut self.fair.machines);
+        let still_wanting: HashSet<&JobId> = wanting.iter().collect();
         machines.retain(|id, job| {
             let takes = self.machines.get(id).is_some_and(Machine::takes_offers);
-            takes && wanting.contains(job)
+            takes && still_wanting.contains(job)
         });
+        let mut kept: HashMap<JobId, usize> = HashMap::new();
+        for job in machines.values() {
+            *kept.entry(job.clone()).or_default() += 1;
+        }
+        let jobs = wanting.len();
         let most = self.machines.len() / MACHINES_PER_KEPT + 1;
-        let waiting = self.jobs.values().filter(|j| j.waiting() > 0);
+        let waiting = self.open_jobs().filter(|j| j.waiting() > 0);
         let least = waiting.map(|j| j.spec.need()).reduce(|a, b| a.least(&b));
-        for id in wanting {
+        for (place, id) in wanting.into_iter().enumerate() {
             let Some(spec) = spec_of(&self.jobs, &id) else {
                 continue;
             };
+            // Of very many a sample gets its turn.
+            if place >= SEARCHES && self.rng.usize(..jobs) >= SEARCHES {
+                continue;
+            }
             // A gang needs as many as it has tasks, another job one for its next task; what needs least of all gets its
             // turn without help.
             let needed = match least {
@@ -71,14 +94,18 @@
                 Some(least) if least != spec.need() && machines.len() < most => 1,
                 _ => 0,
             };
-            let kept = machines.values().filter(|job| **job == id).count();
-            if kept < needed
+            if kept.get(&id).copied().unwrap_or(0) < needed
                 && let Some(machine) = self.machine_to_keep(&id, &machines)
             {
                 machines.insert(machine, id);
             }
         }
-        self.fair.machines = machines;
+        machines
+    }
+
+    /// Jobs with waiting tasks, and perhaps some without.
+    pub(super) fn open_jobs(&self) -> impl Iterator<Item = &Job> {
+        self.job_index.waiting().filter_map(|id| self.jobs.get(id))
     }
 
     /// The machine that could take a task of the job and has the least to wait for.
@@ -96,6 +123,7 @@
                 && !(spec.together && zone.is_some_and(|z| *z != m.zone))
                 && self.accepts(id, name)
         };
+        self.count_steps(self.machines.len());
         let machines = self.machines.iter().filter(fits);
         let best = machines.min_by_key(|(_, m)| m.held.len());
         best.map(|(name, _)| name.clone())
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -1,14 +1,24 @@
 //! The fleet: what to rent for tasks that nobody took, and what to give back.
 
+use super::ids::{MachineId, TaskId};
+use super::job_spec::{JobSpec, Shape};
+use super::machine::{Life, Machine};
+use super::machine_type::MachineType;
 use super::reserve::Reserve;
-use super::*;
+use super::{Scheduler, live_tasks};
 use crate::cloud::{Listed, ListedStatus};
+use crate::units::{Micros, Room};
 use ravenhead_recovery::Resolution;
+use std::collections::{BTreeMap, HashSet};
 
 /// How long a pool that had no machine is left alone.
 const POOL_PAUSE: Micros = Micros::secs(20);
 /// The cloud charges at least so much for a machine that is given back.
 const LEAST_CHARGE: Micros = Micros::secs(60);
+/// Names of machines that are gone, of which late reports and lists may still speak. One that is forgotten and spoken of
+/// once more is only returned once more.
+const GONE_KEPT: usize = 20_000;
+
 /// Machines of one type, zone and kind.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Pool {
@@ -321,6 +331,7 @@
 
     /// Places for such tasks on machines that are up, those included that tasks of lower priority would make way for.
     pub(super) fn free_places(&self, spec: &JobSpec) -> usize {
+        self.count_steps(self.machines.len());
         self.machines
             .values()
             .filter(|m| m.takes_offers())
@@ -334,12 +345,8 @@
             return 0;
         }
         let mut room = m.free();
-        for (task, need) in &m.held {
-            let job = self.jobs.get(&task.job);
-            if spec.shape == Shape::Service && job.is_some_and(|j| j.spec.priority < spec.priority)
-            {
-                room += *need;
-            }
+        if spec.shape == Shape::Service {
+            room += m.held_below(spec.priority);
         }
         room.count_of(&spec.need()).min(1_000)
     }
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -97,6 +97,12 @@
         }
     }
 
+    /// Its tasks that are neither finished nor possibly on a machine, bit by bit; also those beyond the job's last.
+    fn waiting_bits(&self) -> u64 {
+        let live = self.live.keys().fold(0u64, |bits, i| bits | 1 << i);
+        !(self.finished | live)
+    }
+
     /// A chunk as an earlier leader left it.
     pub fn inherit(record: &ChunkRecord, version: u64) -> Chunk {
         let live = record.live.iter().map(|(i, machine, attempt)| {
@@ -242,18 +248,23 @@
 
     /// The first waiting task at or after `from`.
     pub fn next_waiting(&self, from: u32) -> Option<u32> {
-        let mut index = from;
-        while index < self.spec.tasks {
-            let (c, i) = (index / CHUNK, index % CHUNK);
-            let Some(chunk) = self.chunks.get(&c) else {
-                return Some(index);
-            };
-            if chunk.finished >> i & 1 == 0 && !chunk.live.contains_key(&(i as u8)) {
-                return Some(index);
+        let mut expected = from / CHUNK;
+        let mut first = from % CHUNK;
+        for (number, chunk) in self.chunks.range(expected..) {
+            // Nothing was ever placed of a chunk that is not there.
+            if *number > expected {
+                break;
+            }
+            let waiting = chunk.waiting_bits() >> first << first;
+            if waiting != 0 {
+                let index = number * CHUNK + waiting.trailing_zeros();
+                return (index < self.spec.tasks).then_some(index);
             }
-            index += 1;
+            expected = number + 1;
+            first = 0;
         }
-        None
+        let index = expected * CHUNK + first;
+        (index < self.spec.tasks).then_some(index)
     }
 
     /// The attempt that the next placement of a task of this chunk gets. The tasks of a gang find each other by it, so it
--- a/src/scheduler/machine.rs
+++ b/src/scheduler/machine.rs
@@ -1,7 +1,8 @@
 //! A machine in the leader's memory: what it has, what is on it and when it was last in contact.
 
 use super::ids::{JobId, TaskId};
-use super::messages::{Report, TaskState};
+use super::job_spec::Priority;
+use super::messages::{ReportIndex, TaskState};
 use crate::units::{Micros, Room};
 use ravenhead_recovery::Position;
 use std::collections::{BTreeMap, BTreeSet};
@@ -45,8 +46,10 @@
     pub total: Room,
     /// What placements and unexpected tasks take of it.
     pub used: Room,
-    /// Placed tasks.
+    /// Placed tasks. Changed by [`Machine::hold`] and [`Machine::release`] only.
     pub held: BTreeMap<TaskId, Room>,
+    /// What they take, by their priority.
+    held_by: BTreeMap<Priority, Room>,
     /// Tasks on it that no placement covers, with their attempts.
     pub extra: BTreeMap<(TaskId, u64), Room>,
     /// Exited tasks in its newest report, with their attempts, still to be cleared.
@@ -127,6 +130,7 @@
             total: Room::default(),
             used: Room::default(),
             held: BTreeMap::new(),
+            held_by: BTreeMap::new(),
             extra: BTreeMap::new(),
             exited: Vec::new(),
             life: Life::Booting,
@@ -153,6 +157,38 @@
         }
     }
 
+    /// A task is placed on it.
+    pub fn hold(&mut self, task: TaskId, need: Room, priority: Priority) {
+        self.used += need;
+        *self.held_by.entry(priority).or_default() += need;
+        self.held.insert(task, need);
+    }
+
+    /// A task is off it.
+    pub fn release(&mut self, task: &TaskId, need: Room, priority: Priority) {
+        if self.held.remove(task).is_none() {
+            return;
+        }
+        self.used -= need;
+        if let Some(held) = self.held_by.get_mut(&priority) {
+            *held -= need;
+            if *held == Room::default() {
+                self.held_by.remove(&priority);
+            }
+        }
+    }
+
+    /// What tasks of a lower priority take.
+    pub fn held_below(&self, priority: Priority) -> Room {
+        let below = self.held_by.range(..priority).map(|(_, room)| *room);
+        below.fold(Room::default(), |all, room| all + room)
+    }
+
+    /// Whether it holds a task of a lower priority.
+    pub fn holds_below(&self, priority: Priority) -> bool {
+        self.held_by.range(..priority).next().is_some()
+    }
+
     /// Free room: what is there less everything that may be on it.
     pub fn free(&self) -> Room {
         self.total - self.used
@@ -222,16 +258,12 @@
     }
 
     /// Whether a report shows an effect of the orders in the answer before it; none if there were none.
-    pub fn heeds(&self, report: &Report) -> Option<bool> {
+    pub fn heeds(&self, report: &ReportIndex<'_>) -> Option<bool> {
         if self.asked.is_empty() {
             return None;
         }
         let shown = self.asked.iter().any(|(task, attempt, asked)| {
-            let name = task.to_string();
-            let found = report
-                .tasks
-                .iter()
-                .find(|t| t.attempt == *attempt && t.task == name);
+            let found = report.get(task, *attempt);
             asked.is_shown(found.map(|t| t.state))
         });
         Some(shown)
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -1,9 +1,10 @@
 //! What workers and the leader tell each other: reports and orders.
 
-use super::ids::MachineId;
+use super::ids::{MachineId, TaskId};
 use bitcode::{Decode, Encode};
 use ravenhead_recovery::{Position, ReportedState};
 use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
 
 /// A task's state as its worker tells it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
@@ -116,6 +117,28 @@
     }
 }
 
+/// The tasks of a report by their name and attempt.
+///
+/// Guards against a walk over all tasks of a report for each placement and for each order that it may answer.
+pub struct ReportIndex<'a>(HashMap<(&'a str, u64), &'a ReportedTask>);
+
+impl<'a> ReportIndex<'a> {
+    /// The index of a report.
+    pub fn new(report: &'a Report) -> ReportIndex<'a> {
+        let tasks = report.tasks.iter();
+        ReportIndex(tasks.map(|t| ((t.task.as_str(), t.attempt), t)).collect())
+    }
+
+    /// What is reported of an attempt of a task.
+    pub fn get(&self, task: &TaskId, attempt: u64) -> Option<&'a ReportedTask> {
+        if self.0.is_empty() {
+            return None;
+        }
+        let name = task.to_string();
+        self.0.get(&(name.as_str(), attempt)).copied()
+    }
+}
+
 /// A command to a worker.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Encode, Decode)]
 #[serde(tag = "verb", rename_all = "lowercase")]
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -3,20 +3,25 @@
 //! It has no I/O, no clock and no randomness of its own. What may be told to workers follows from what the
 //! controller reports as written: a start is given out only after its placement was, a `clear` only after the finish.
 
+mod blame;
 mod boots;
+mod candidates;
 mod consolidation;
 mod failure_detection;
 mod fair;
 mod fleet;
 mod ids;
 mod job;
+mod job_index;
 mod job_spec;
 mod machine;
 mod machine_type;
 mod messages;
 mod offers;
+mod orders;
 mod preempt;
 mod quota;
+mod reconciliation;
 mod records;
 mod recovery;
 mod rental_plan;
@@ -37,10 +42,8 @@
 
 pub use writes::Write;
 
-use machine::MOST_TASKS;
-
 use crate::units::{Micros, Room};
-use std::cmp::Reverse;
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::rc::Rc;
 
@@ -97,9 +100,6 @@
     pub answers: bool,
 }
 
-/// Names of machines that are gone, of which late reports and lists may still speak.
-const GONE_KEPT: usize = 20_000;
-
 /// The scheduler of one leader, for the time of its token.
 pub struct Scheduler {
     config: SchedulerConfig,
@@ -115,12 +115,16 @@
     jobs: BTreeMap<JobId, Job>,
     machines: BTreeMap<MachineId, Machine>,
     team_used: BTreeMap<String, Room>,
-    /// Jobs within their team's guarantee, as of the last round.
-    guaranteed: HashSet<JobId>,
+    /// Which jobs are within their team's guarantee, as of the last round.
+    guarantees: quota::Guarantees,
+    /// Which jobs and tasks a round must look at.
+    job_index: job_index::JobIndex,
     /// What work without accelerators leaves for each free one, by its priority, as of the last round.
     beside_a_card: BTreeMap<Priority, Room>,
     /// Chunks to be written, those of the highest priority first.
-    dirty: BTreeSet<(Reverse<Priority>, JobId, u32)>,
+    dirty: BTreeSet<writes::ChunkPlace>,
+    /// Chunks whose changes wait for others of their job, as writes are short.
+    deferred: writes::Deferred,
     finished: BTreeSet<JobId>,
     over: BTreeSet<JobId>,
     /// Machines whose images are to be written down.
@@ -140,6 +144,8 @@
     details: Vec<String>,
     /// Offers made in the last round, for bounding and for tests.
     pub offers_made: usize,
+    /// Steps of loops over machines, jobs and tasks so far, for tests that bound the work.
+    steps: Cell<u64>,
 }
 
 impl Scheduler {
@@ -163,9 +169,11 @@
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             team_used: BTreeMap::new(),
-            guaranteed: HashSet::new(),
+            guarantees: quota::Guarantees::default(),
+            job_index: job_index::JobIndex::default(),
             beside_a_card: BTreeMap::new(),
             dirty: BTreeSet::new(),
+            deferred: writes::Deferred::default(),
             finished: BTreeSet::new(),
             over: BTreeSet::new(),
             new_images: BTreeSet::new(),
@@ -182,6 +190,7 @@
             notes: Vec::new(),
             details: Vec::new(),
             offers_made: 0,
+            steps: Cell::new(0),
         }
     }
 
@@ -198,6 +207,16 @@
         )
     }
 
+    /// Steps of loops over machines, jobs and tasks so far, offers and searches included.
+    pub fn steps(&self) -> u64 {
+        self.steps.get() + self.offers_made as u64
+    }
+
+    /// A loop goes over so many machines, jobs or tasks.
+    fn count_steps(&self, n: usize) {
+        self.steps.set(self.steps.get() + n as u64);
+    }
+
     /// The machine types as the cloud tells them now.
     pub fn set_machine_types(&mut self, machine_types: &[MachineType]) {
         self.machine_types = machine_types
@@ -234,7 +253,9 @@
             job.chunks.insert(number, chunk);
         }
         let all_done = job.done == job.spec.tasks;
+        self.guarantees.add(&job);
         self.jobs.insert(id.clone(), job);
+        self.note_waiting(&id);
         for (index, machine) in placed {
             self.hold(&id, index, &machine, now);
         }
@@ -254,7 +275,9 @@
         }
         job.end = Some(end);
         job.ending = true;
+        self.guarantees.note_change(&job.spec.team);
         self.finished.remove(id);
+        self.note_waiting(id);
         self.drop_unwritten(id);
         self.check_over(id);
     }
@@ -263,11 +286,21 @@
     pub fn job_is_over(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.ending = true;
+            self.guarantees.note_change(&job.spec.team);
             self.finished.remove(id);
+            self.note_waiting(id);
             self.drop_unwritten(id);
         }
     }
 
+    /// The number of a job's waiting tasks may have changed.
+    fn note_waiting(&mut self, id: &JobId) {
+        match self.jobs.get(id) {
+            Some(job) => self.job_index.note_waiting(job),
+            None => self.job_index.forget(id),
+        }
+    }
+
     /// Takes back placements whose start can't have been sent, as they were not written.
     fn drop_unwritten(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get(id) else { return };
@@ -291,16 +324,17 @@
             return;
         };
         let need = job.spec.need();
+        let priority = job.spec.priority;
         job.live += 1;
+        self.job_index.note_waiting(job);
         *job.live_in.entry(m.zone.clone()).or_default() += 1;
         *self.team_used.entry(job.spec.team.clone()).or_default() += need;
-        m.used += need;
         m.idle_since = None;
         let task = TaskId {
             job: id.clone(),
             index,
         };
-        m.held.insert(task, need);
+        m.hold(task, need, priority);
     }
 
     /// Takes a placement out, because its task is proven to be off its machine or was never sent there.
@@ -315,7 +349,9 @@
             return;
         };
         let need = job.spec.need();
+        let priority = job.spec.priority;
         job.live -= 1;
+        self.job_index.note_waiting(job);
         if let Some(used) = self.team_used.get_mut(&job.spec.team) {
             *used -= need;
         }
@@ -323,11 +359,11 @@
             if let Some(n) = job.live_in.get_mut(&m.zone) {
                 *n = n.saturating_sub(1);
             }
-            m.used -= need;
-            m.held.remove(&TaskId {
+            let task = TaskId {
                 job: id.clone(),
                 index,
-            });
+            };
+            m.release(&task, need, priority);
         }
         self.note_change(id, index / CHUNK);
         if placement.stopping == Some(StopReason::Preempted) {
@@ -338,8 +374,10 @@
 
     /// Makes the jobs due for which room was made on a machine, so that no other takes it first.
     fn wake_claimants(&mut self, machine: &MachineId) {
-        for job in self.jobs.values_mut() {
-            if job.claims.iter().any(|(m, _)| m == machine) {
+        for id in self.job_index.claimants() {
+            if let Some(job) = self.jobs.get_mut(id)
+                && job.claims.iter().any(|(m, _)| m == machine)
+            {
                 job.next_try = Micros::ZERO;
             }
         }
@@ -358,8 +396,11 @@
         chunk.finished |= 1 << (index % CHUNK);
         job.done += 1;
         job.failures = 0;
+        self.guarantees.note_change(&job.spec.team);
+        self.job_index.note_waiting(job);
         if job.done == job.spec.tasks && !job.ending {
             self.finished.insert(id.clone());
+            self.stop_deferring(id);
         }
         self.note_change(id, index / CHUNK);
     }
@@ -377,11 +418,29 @@
                 chunk.changed_at = self.latest;
             }
             chunk.dirty = true;
-            let place = (Reverse(job.spec.priority), id.clone(), number);
+            let place = writes::ChunkPlace::new(job.spec.priority, id, number);
+            self.deferred.remove(&place);
             self.dirty.insert(place);
         }
     }
 
+    /// Makes a job with waiting tasks due at once.
+    pub(super) fn requeue(&mut self, id: &JobId, now: Micros) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.next_try = job.next_try.min(now);
+        }
+    }
+
+    pub(super) fn note_image(&mut self, machine: &MachineId, spec: &JobSpec) {
+        if let Some(m) = self.machines.get_mut(machine) {
+            let cache = self
+                .machine_types
+                .get(&m.machine_type)
+                .map_or(f64::INFINITY, |f| f.cache_gb);
+            m.note_image(&spec.image, spec.image_gb, cache);
+        }
+    }
+
     fn check_over(&mut self, id: &JobId) {
         if self
             .jobs
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -1,56 +1,36 @@
 //! The ordinary path: due jobs are offered to machines in id order, and the first that accepts takes the task.
 
+use super::candidates::{Candidates, Order};
+use super::ids::{JobId, MachineId, TaskId};
+use super::job::{Job, Placement, StopReason};
+use super::job_spec::Priority;
 use super::preempt::MakeRoom;
-use super::*;
+use super::records::CHUNK;
+use super::{Scheduler, live_tasks, spec_of};
+use crate::units::{Micros, Room};
 use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 
-/// Tasks of one job placed in one round, so that one huge job can't take the whole round.
+/// Tasks of one job placed in one round, so that one huge job can't take the whole round; or one for each machine, where
+/// they are more.
 const TASKS_PER_JOB: usize = 512;
+/// A sample holds at least so many machines.
+const LEAST_SAMPLE: usize = 8;
 
 /// With so many machines for each task of a job, what must be fetched anyway is fetched by as many as it has tasks.
 const MACHINES_PER_TASK: usize = 50;
 
 /// Which machines a job is offered to in one pass, and how many of its tasks each may take.
 #[derive(Debug, Clone, Copy, Default)]
-struct Pass {
+pub(super) struct Pass {
     /// Only those that have its image, are fetching it, or were cleared for it.
     with_image: bool,
     /// Only spot machines, or only ordinary ones.
-    spot: Option<bool>,
+    pub(super) spot: Option<bool>,
     /// One task a machine: what must be fetched anyway is then had by more machines.
     one_each: bool,
     /// Only those that have work with accelerators.
-    beside_cards: bool,
-}
-
-/// A machine as a round sees it.
-struct Candidate {
-    id: MachineId,
-    spot: bool,
-    free: Room,
-    /// All of its accelerators.
-    cards: i64,
-    /// Tasks that its next report will name.
-    tasks: usize,
-}
-
-impl Candidate {
-    fn uses_cards(&self) -> bool {
-        self.free.cards < self.cards
-    }
-
-    /// Whether a task fits; what takes no accelerators leaves so much for each free one beside others in use.
-    fn holds(&self, need: &Room, beside_a_card: Room) -> bool {
-        if self.tasks >= MOST_TASKS {
-            return false;
-        }
-        if need.cards > 0 || !self.uses_cards() {
-            return self.free.holds(need);
-        }
-        let free_cards = Room::new(0.0, 1.0, 0.0).cards.max(1);
-        let kept = beside_a_card.times((self.free.cards / free_cards).max(0) as usize);
-        (self.free - kept).holds(need)
-    }
+    pub(super) beside_cards: bool,
 }
 
 impl Scheduler {
@@ -58,7 +38,7 @@
     pub fn round(&mut self, now: Micros) {
         self.latest = now;
         self.offers_made = 0;
-        self.guaranteed = self.guaranteed_jobs();
+        self.refresh_guarantees();
         let due = self.due_jobs(now);
         if due.is_empty() {
             return;
@@ -66,74 +46,89 @@
         self.keep_for_long_waiting(now);
         let mut machines = self.candidates(&due);
         let mut room = MakeRoom::new(self.coming_room(now));
-        self.beside_a_card = self.room_beside_a_card();
+        self.beside_a_card = self.room_beside_a_card(&due);
         let sample = self.sample_size(due.len(), machines.len());
-        let everyone: Vec<usize> = (0..machines.len()).collect();
         for id in &self.with_claimants(&due) {
             if !due.contains(id) {
                 self.hold_claims(id, &mut machines);
                 continue;
             }
             let before = self.jobs.get(id).map_or(0, Job::waiting);
-            if self.is_held_back(id) {
-                self.note_offered(id, before, now);
-                self.delay(id, now);
-                continue;
+            if !self.is_held_back(id) {
+                let order = self.order_for(id, &machines, sample);
+                self.offer_job(id, &mut machines, &order, &mut room, now);
             }
-            let drawn = (sample < machines.len()).then(|| self.sample(id, &machines, sample));
-            let order = drawn.as_deref().unwrap_or(&everyone);
-            if spec_of(&self.jobs, id).is_some_and(|s| s.is_gang()) {
-                self.offer_whole(id, &mut machines, order, now);
-                self.note_offered(id, before, now);
-                self.delay(id, now);
-                continue;
+            self.note_offered(id, before, now);
+            self.delay(id, now);
+        }
+    }
+
+    /// The machines that a job is offered to in this round: all of them, or a sample where that would be too many offers.
+    fn order_for(&mut self, id: &JobId, machines: &Candidates, sample: usize) -> Order {
+        let need = self.jobs.get(id).map(|job| job.spec.need());
+        match need {
+            Some(need) if sample < machines.len() => {
+                Order::Some(machines.sample(&need, sample, &mut self.rng))
             }
-            let any = Pass::default();
-            let cached = Pass {
-                with_image: true,
+            _ => Order::All,
+        }
+    }
+
+    /// Offers one job in the passes that it needs, and makes room for it where it must not wait.
+    fn offer_job(
+        &mut self,
+        id: &JobId,
+        machines: &mut Candidates,
+        order: &Order,
+        room: &mut MakeRoom,
+        now: Micros,
+    ) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let spec = job.spec.clone();
+        let may_use_spot = spec.spot && !job.lost_on_spot;
+        if spec.is_gang() {
+            self.offer_whole(id, machines, order, now);
+            return;
+        }
+        let any = Pass::default();
+        let cached = Pass {
+            with_image: true,
+            ..any
+        };
+        // What takes no accelerators first takes what is left beside those in use.
+        if spec.cards == 0.0 {
+            let beside_cards = true;
+            let beside = Pass {
+                beside_cards,
                 ..any
             };
-            // What takes no accelerators first takes what is left beside those in use.
-            if spec_of(&self.jobs, id).is_some_and(|s| s.cards == 0.0) {
-                let beside_cards = true;
-                let beside = Pass {
-                    beside_cards,
-                    ..any
-                };
-                self.offer(id, &mut machines, order, beside, now);
-            }
-            // Ordinary machines decline what may use spot ones, which are far cheaper, while these have room.
-            if self
-                .jobs
-                .get(id)
-                .is_some_and(|j| j.spec.spot && !j.lost_on_spot)
-            {
-                let spot = Some(true);
-                self.offer(id, &mut machines, order, Pass { spot, ..cached }, now);
-                self.offer(id, &mut machines, order, Pass { spot, ..any }, now);
-            }
-            self.offer(id, &mut machines, order, cached, now);
-            // A task that would wait too long for its image on a free machine rather takes the place of another on
-            // a machine that has it.
-            if self.fetch_is_too_slow(id) {
-                self.preempt_for(id, true, &mut room, now);
-                // In a small fleet the machines are too few to give each task one of its own.
-                let tasks = self.jobs.get(id).map_or(0, |j| j.spec.tasks as usize);
-                let one_each = self.machines.len() >= tasks * MACHINES_PER_TASK;
-                self.offer(id, &mut machines, order, Pass { one_each, ..any }, now);
-            }
-            self.offer(id, &mut machines, order, any, now);
-            self.preempt_for(id, false, &mut room, now);
-            self.hold_claims(id, &mut machines);
-            self.note_offered(id, before, now);
-            self.delay(id, now);
+            self.offer(id, machines, order, beside, now);
         }
+        // Ordinary machines decline what may use spot ones, which are far cheaper, while these have room.
+        if may_use_spot {
+            let spot = Some(true);
+            self.offer(id, machines, order, Pass { spot, ..cached }, now);
+            self.offer(id, machines, order, Pass { spot, ..any }, now);
+        }
+        self.offer(id, machines, order, cached, now);
+        // A task that would wait too long for its image on a free machine rather takes the place of another on
+        // a machine that has it.
+        if self.fetch_is_too_slow(id) {
+            self.preempt_for(id, true, room, now);
+            // In a small fleet the machines are too few to give each task one of its own.
+            let one_each = self.machines.len() >= spec.tasks as usize * MACHINES_PER_TASK;
+            self.offer(id, machines, order, Pass { one_each, ..any }, now);
+        }
+        self.offer(id, machines, order, any, now);
+        self.preempt_for(id, false, room, now);
+        self.hold_claims(id, machines);
     }
 
     /// These jobs and those that wait for room being made for them, in their order.
-    fn with_claimants(&self, due: &HashSet<JobId>) -> Vec<JobId> {
-        let concerned = |j: &&Job| !j.claims.is_empty() || due.contains(&j.spec.id);
-        let mut all: Vec<&Job> = self.jobs.values().filter(concerned).collect();
+    fn with_claimants(&self, due: &BTreeSet<JobId>) -> Vec<JobId> {
+        let claimants = self.job_index.claimants().filter(|id| !due.contains(*id));
+        let concerned = due.iter().chain(claimants);
+        let mut all: Vec<&Job> = concerned.filter_map(|id| self.jobs.get(id)).collect();
         self.sort_by_turn(&mut all);
         all.into_iter().map(|j| j.spec.id.clone()).collect()
     }
@@ -142,11 +137,12 @@
     ///
     /// Guards against room for a large task that frees bit by bit, each of which a smaller one takes: stops would be
     /// ordered for ever, and the large task would never begin.
-    fn hold_claims(&self, id: &JobId, machines: &mut [Candidate]) {
+    fn hold_claims(&self, id: &JobId, machines: &mut Candidates) {
         let Some(job) = self.jobs.get(id) else { return };
+        let need = job.spec.need();
         for (machine, _) in &job.claims {
-            if let Ok(i) = machines.binary_search_by(|m| m.id.cmp(machine)) {
-                machines[i].free -= job.spec.need();
+            if let Some(i) = machines.position(machine) {
+                machines.take(i, &need);
             }
         }
     }
@@ -156,8 +152,13 @@
     ///
     /// Guards against thousands of tasks without accelerators that use up the processors beside free ones: those would
     /// be paid for, and of no use to anybody.
-    fn room_beside_a_card(&self) -> BTreeMap<Priority, Room> {
+    fn room_beside_a_card(&self, due: &BTreeSet<JobId>) -> BTreeMap<Priority, Room> {
         let mut beside: BTreeMap<Priority, Room> = BTreeMap::new();
+        let takes_none = |id: &JobId| self.jobs.get(id).is_some_and(|j| j.spec.cards == 0.0);
+        if !due.iter().any(takes_none) {
+            return beside;
+        }
+        self.count_steps(self.jobs.len());
         for job in self
             .jobs
             .values()
@@ -197,47 +198,85 @@
     }
 
     /// Offers a gang: all its tasks are placed or none. One that lost a member is stopped, and starts whole again.
-    fn offer_whole(
-        &mut self,
-        id: &JobId,
-        machines: &mut [Candidate],
-        order: &[usize],
-        now: Micros,
-    ) {
-        let Some(job) = self.jobs.get_mut(id) else {
+    fn offer_whole(&mut self, id: &JobId, machines: &mut Candidates, order: &Order, now: Micros) {
+        let Some(job) = self.jobs.get(id) else {
             return;
         };
         if job.live > 0 {
-            for chunk in job.chunks.values_mut() {
-                for p in chunk.live.values_mut() {
-                    p.stopping.get_or_insert(StopReason::Drained);
-                }
-            }
+            self.stop_all(id, StopReason::Drained);
             return;
         }
-        let zone_of = |i: &usize| self.machines[&machines[*i].id].zone.clone();
-        let mut parts: Vec<Vec<usize>> = vec![order.to_vec()];
-        if job.spec.together {
-            let zones: BTreeSet<String> = order.iter().map(zone_of).collect();
-            let of_zone = |zone: &String| {
-                let there = order.iter().filter(|i| zone_of(i) == *zone);
-                there.copied().collect()
-            };
-            parts = zones.iter().map(of_zone).collect();
+        let parts = if job.spec.together {
+            self.order_by_zone(machines, order)
+        } else {
+            Vec::new()
+        };
+        if parts.is_empty() {
+            self.offer_whole_to(id, machines, order, now);
+            return;
         }
         for part in parts {
-            let before: Vec<Room> = machines.iter().map(|m| m.free).collect();
-            self.offer(id, machines, &part, Pass::default(), now);
-            if self.jobs.get(id).is_none_or(|job| job.waiting() == 0) {
+            if self.offer_whole_to(id, machines, &Order::Some(part), now) {
                 return;
             }
-            self.drop_unwritten(id);
-            for (machine, free) in machines.iter_mut().zip(before) {
-                machine.free = free;
+        }
+    }
+
+    /// Offers a gang to these machines; whether it was placed.
+    fn offer_whole_to(
+        &mut self,
+        id: &JobId,
+        machines: &mut Candidates,
+        order: &Order,
+        now: Micros,
+    ) -> bool {
+        self.offer(id, machines, order, Pass::default(), now);
+        let Some(job) = self.jobs.get(id) else {
+            return true;
+        };
+        if job.waiting() == 0 {
+            return true;
+        }
+        let need = job.spec.need();
+        let placed: Vec<MachineId> = live_tasks(job).map(|(_, p)| p.machine.clone()).collect();
+        self.drop_unwritten(id);
+        for machine in placed {
+            if let Some(i) = machines.position(&machine) {
+                machines.take_back(i, &need);
+            }
+        }
+        false
+    }
+
+    /// Orders all tasks of a job that are on machines to be stopped.
+    fn stop_all(&mut self, id: &JobId, why: StopReason) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        for (number, chunk) in &mut job.chunks {
+            for (i, p) in &mut chunk.live {
+                p.stopping.get_or_insert(why);
+                let index = number * CHUNK + u32::from(*i);
+                let job = id.clone();
+                self.job_index.note_stopping(TaskId { job, index });
             }
         }
     }
 
+    /// The machines of an order, zone by zone.
+    fn order_by_zone(&self, machines: &Candidates, order: &Order) -> Vec<Vec<usize>> {
+        let all: Vec<usize> = match order {
+            Order::All => (0..machines.len()).collect(),
+            Order::Some(some) => some.clone(),
+        };
+        let mut by_zone: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
+        for i in all {
+            let zone = &self.machines[&machines.get(i).id].zone;
+            by_zone.entry(zone).or_default().push(i);
+        }
+        by_zone.into_values().collect()
+    }
+
     /// Whether a task of the job could not start within its class's time where its image must be fetched first.
     fn fetch_is_too_slow(&self, id: &JobId) -> bool {
         let Some(spec) = spec_of(&self.jobs, id) else {
@@ -258,7 +297,7 @@
     pub(super) fn sort_by_turn(&self, jobs: &mut [&Job]) {
         let place = |j: &Job| {
             let waits = j.spec.priority < Priority::Critical;
-            let borrows = !self.guaranteed.contains(&j.spec.id);
+            let borrows = !self.guarantees.covers(j);
             let priority = Reverse(j.spec.priority);
             (waits, borrows, priority, j.turn(self.unix_time))
         };
@@ -266,31 +305,23 @@
     }
 
     /// Jobs to offer now.
-    fn due_jobs(&self, now: Micros) -> HashSet<JobId> {
-        let due = |j: &&Job| j.next_try <= now && j.open() > 0;
-        let due = self.jobs.values().filter(due);
-        due.map(|j| j.spec.id.clone()).collect()
+    fn due_jobs(&self, now: Micros) -> BTreeSet<JobId> {
+        self.count_steps(self.job_index.waiting_count());
+        let due = |id: &&JobId| {
+            let job = self.jobs.get(*id);
+            job.is_some_and(|j| j.next_try <= now && j.open() > 0)
+        };
+        self.job_index.waiting().filter(due).cloned().collect()
     }
 
     /// Machines that take offers and have room for the smallest of these jobs' tasks, in id order: the others need not
     /// be asked.
-    fn candidates(&self, due: &HashSet<JobId>) -> Vec<Candidate> {
+    fn candidates(&self, due: &BTreeSet<JobId>) -> Candidates {
+        self.count_steps(self.machines.len());
         let needs = due.iter().filter_map(|id| self.jobs.get(id));
         let needs = needs.map(|job| job.spec.need());
-        let Some(smallest) = needs.reduce(|a, b| a.least(&b)) else {
-            return Vec::new();
-        };
-        self.machines
-            .iter()
-            .filter(|(_, m)| m.takes_offers() && m.free().holds(&smallest))
-            .map(|(id, m)| Candidate {
-                id: id.clone(),
-                spot: m.spot,
-                free: m.free(),
-                cards: m.total.cards,
-                tasks: m.reported_tasks(),
-            })
-            .collect()
+        let smallest = needs.reduce(|a, b| a.least(&b)).unwrap_or_default();
+        Candidates::new(&self.machines, &smallest)
     }
 
     /// How many machines each job may be offered to within the round's allowance.
@@ -299,29 +330,17 @@
         if fair >= machines {
             machines
         } else {
-            fair.max(8)
+            fair.max(LEAST_SAMPLE)
         }
     }
 
-    /// A random sample of the machines that have room for a task of the job, in id order.
-    ///
-    /// Guards against a sample that misses the few machines that fit.
-    fn sample(&mut self, id: &JobId, machines: &[Candidate], size: usize) -> Vec<usize> {
-        let need = self.jobs.get(id).map(|job| job.spec.need());
-        let fits = |free: &Room| need.is_some_and(|need| free.holds(&need));
-        let open = machines.iter().enumerate().filter(|(_, m)| fits(&m.free));
-        let mut drawn = self.rng.choose_multiple(open.map(|(i, _)| i), size);
-        drawn.sort_unstable();
-        drawn
-    }
-
     /// Offers a job's waiting tasks to the machines of a pass; tasks that wait for a place being cleared are left out
     /// where the image is not asked for.
     fn offer(
         &mut self,
         id: &JobId,
-        machines: &mut [Candidate],
-        order: &[usize],
+        machines: &mut Candidates,
+        order: &Order,
         pass: Pass,
         now: Micros,
     ) {
@@ -335,46 +354,43 @@
         let beside_a_card = beside_a_card.copied().unwrap_or_default();
         let mut budget = job.open() as usize;
         if !spec.is_gang() {
-            budget = budget.min(TASKS_PER_JOB);
+            budget = budget.min(TASKS_PER_JOB.max(self.machines.len()));
         }
         if !pass.with_image {
             budget = budget.saturating_sub(job.claims.len());
         }
-        let cleared: Vec<MachineId> = job.claims.iter().map(|(m, _)| m.clone()).collect();
-        let moves = job.moving_until > now && !cleared.is_empty();
-        let mut next = 0;
-        for &i in order {
-            let candidate = &mut machines[i];
-            if pass.spot.is_some_and(|spot| spot != candidate.spot) {
-                continue;
-            }
+        let ready = pass
+            .with_image
+            .then(|| self.ready_machines(id, machines, order, now));
+        let order = ready.as_ref().unwrap_or(order);
+        let mut next_task = 0;
+        let mut from = 0;
+        while budget > 0 {
+            let Some((place, i)) = machines.next(order, from, &need, &pass) else {
+                return;
+            };
+            from = place + 1;
             self.offers_made += 1;
-            if !candidate.holds(&need, beside_a_card)
-                || (pass.beside_cards && !candidate.uses_cards())
-                || self.is_kept_from(&candidate.id, id)
+            let machine = machines.get(i).id.clone();
+            if pass.beside_cards && !machines.get(i).uses_cards() || self.is_kept_from(&machine, id)
             {
                 continue;
             }
-            // What is being moved goes where its place is.
-            let ready = cleared.contains(&candidate.id)
-                || !moves && self.machines[&candidate.id].has_image(&spec.image);
-            if pass.with_image && !ready {
-                continue;
-            }
             while budget > 0
-                && candidate.holds(&need, beside_a_card)
-                && self.accepts(id, &candidate.id)
+                && machines.get(i).holds(&need, beside_a_card)
+                && self.accepts(id, &machine)
             {
-                let Some(index) = self.jobs.get(id).and_then(|j| j.next_waiting(next)) else {
+                let waiting = self.jobs.get(id).and_then(|j| j.next_waiting(next_task));
+                let Some(index) = waiting else {
                     return;
                 };
                 if !self.within_limit(&spec.team, &need) {
                     return;
                 }
-                self.place(id, index, &candidate.id, now);
-                candidate.free -= need;
-                candidate.tasks += 1;
-                next = index + 1;
+                self.place(id, index, &machine, now);
+                machines.place(i, &need);
+                machines.note_image(i, &spec.image);
+                next_task = index + 1;
                 budget -= 1;
                 if pass.one_each {
                     break;
@@ -383,6 +399,32 @@
         }
     }
 
+    /// Those machines of an order that have a job's image, are fetching it or were cleared for it. What is being moved goes
+    /// where its place is.
+    fn ready_machines(
+        &self,
+        id: &JobId,
+        machines: &mut Candidates,
+        order: &Order,
+        now: Micros,
+    ) -> Order {
+        let Some(job) = self.jobs.get(id) else {
+            return Order::Some(Vec::new());
+        };
+        let cleared = job.claims.iter().filter_map(|(m, _)| machines.position(m));
+        let mut ready: Vec<usize> = cleared.collect();
+        let moves = job.moving_until > now && !job.claims.is_empty();
+        if !moves {
+            ready.extend(machines.with_image(&job.spec.image, &self.machines));
+        }
+        ready.sort_unstable();
+        ready.dedup();
+        if let Order::Some(some) = order {
+            ready.retain(|i| some.binary_search(i).is_ok());
+        }
+        Order::Some(ready)
+    }
+
     /// Whether a machine may take one more task of the job, room and team limit aside.
     pub(super) fn accepts(&self, id: &JobId, machine: &MachineId) -> bool {
         let (Some(m), Some(job)) = (self.machines.get(machine), self.jobs.get(id)) else {
--- /dev/null
+++ b/src/scheduler/orders.rs
@@ -0,0 +1,128 @@
+//! The orders that go into the answer to a report.
+
+use super::Scheduler;
+use super::ids::{MachineId, TaskId};
+use super::job::StopReason;
+use super::machine::Asked;
+use super::messages::{Order, TaskState};
+use crate::units::Micros;
+use ravenhead_recovery::Position;
+
+/// Most orders in one answer, so that its line stays below the protocol's limit.
+const MOST_ORDERS: usize = 400;
+
+impl Scheduler {
+    /// The orders that go into the answer to a report; none if it is not the newest of its machine any more.
+    pub fn orders_for(&mut self, machine: &MachineId, report: Position, now: Micros) -> Vec<Order> {
+        let newest = self.machines.get(machine).and_then(|m| m.newest);
+        if newest == Some(report) {
+            self.task_to_move(machine, now);
+        }
+        let Some(m) = self.machines.get(machine) else {
+            return Vec::new();
+        };
+        if m.newest != Some(report) {
+            return Vec::new();
+        }
+        let takes_starts = m.takes_offers();
+        let mut asked: Vec<(TaskId, u64, Asked)> = Vec::new();
+        let mut orders = Vec::new();
+        for (task, attempt) in &m.exited {
+            // A finish must be written before its worker forgets it.
+            let written = self.jobs.get(&task.job).is_none_or(|j| {
+                j.end.is_some() || !j.is_finished(task.index) || j.is_finish_committed(task.index)
+            });
+            if written {
+                asked.push((task.clone(), *attempt, Asked::Clear));
+                orders.push(Order::Clear {
+                    task: task.to_string(),
+                    attempt: *attempt,
+                });
+            }
+        }
+        for (task, attempt) in m.extra.keys() {
+            asked.push((task.clone(), *attempt, Asked::Stop));
+            orders.push(Order::Stop {
+                task: task.to_string(),
+                attempt: *attempt,
+                slack_s: 0.0,
+            });
+        }
+        let held: Vec<TaskId> = m.held.keys().cloned().collect();
+        let mut starts = Vec::new();
+        let mut unsent = Vec::new();
+        for task in held {
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let cancelled = job.ending;
+            let slack = job.spec.save_slack();
+            let Some(p) = job.placement_mut(task.index) else {
+                continue;
+            };
+            let never_sent = !p.inherited && p.sent.is_none();
+            if cancelled || p.stopping.is_some() {
+                if never_sent {
+                    unsent.push(task);
+                } else if cancelled || p.seen != Some(TaskState::Saving) {
+                    // What a cancelled task would save is of no use to anybody.
+                    asked.push((task.clone(), p.attempt, Asked::Stop));
+                    orders.push(Order::Stop {
+                        task: task.to_string(),
+                        attempt: p.attempt,
+                        slack_s: if cancelled { 0.0 } else { slack.ceil() },
+                    });
+                }
+            } else if never_sent && !takes_starts {
+                unsent.push(task);
+            } else if never_sent && p.committed && starts.len() + orders.len() < MOST_ORDERS {
+                p.sent = Some(report);
+                asked.push((task.clone(), p.attempt, Asked::Run));
+                starts.push(Order::Run {
+                    task: task.to_string(),
+                    attempt: p.attempt,
+                });
+            }
+        }
+        for task in unsent {
+            self.release(&task.job, task.index);
+        }
+        orders.truncate(MOST_ORDERS - starts.len());
+        orders.extend(starts);
+        if let Some(m) = self.machines.get_mut(machine) {
+            m.asked = asked;
+        }
+        orders
+    }
+
+    /// Whether the machine has placements whose starts wait only for being written.
+    pub fn awaits_write(&self, machine: &MachineId) -> bool {
+        self.machines.get(machine).is_some_and(|m| {
+            m.held.keys().any(|task| {
+                self.jobs
+                    .get(&task.job)
+                    .and_then(|j| j.placement(task.index))
+                    .is_some_and(|p| !p.committed)
+            })
+        })
+    }
+
+    /// The cloud will take the machine: what can save does so now, what has not begun goes elsewhere.
+    pub(super) fn drain_for_notice(&mut self, machine: &MachineId) {
+        let Some(m) = self.machines.get(machine) else {
+            return;
+        };
+        for task in m.held.keys() {
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let saves = job.spec.save_slack() > 0.0;
+            if let Some(p) = job.placement_mut(task.index)
+                && p.stopping.is_none()
+                && (saves || p.running_since.is_none())
+            {
+                p.stopping = Some(StopReason::Drained);
+            }
+        }
+    }
+}
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -1,12 +1,19 @@
 //! Making room for what must not wait, by the protocol's rules only and at the least loss of work.
 
-use super::*;
+use super::ids::{JobId, MachineId, TaskId};
+use super::job::{Job, StopReason};
+use super::job_spec::{JobSpec, Priority, Shape};
+use super::machine::Machine;
+use super::{Scheduler, spec_of};
+use crate::units::{Micros, Room};
+use std::collections::BTreeMap;
 
 /// What a stopped task needs until it runs again elsewhere. An array's task that ran for less is not stopped for an array
 /// of a higher priority: the restart would cost more than it achieved.
 const RESTART: Micros = Micros::secs(45);
-/// Stops ordered for one job in one round.
+/// Stops ordered for one job in one round; or one for so many machines, where that is more.
 const STOPS_PER_ROUND: usize = 16;
+const MACHINES_PER_STOP: usize = 64;
 
 /// What a round knows of the room that can be made.
 pub(super) struct MakeRoom {
@@ -29,15 +36,25 @@
     /// Room that will be free by machine: what is being stopped there, less what was promised of it.
     pub(super) fn coming_room(&mut self, now: Micros) -> BTreeMap<MachineId, Room> {
         let mut coming: BTreeMap<MachineId, Room> = BTreeMap::new();
-        for job in self.jobs.values_mut() {
-            for (_, p) in live_tasks(job).filter(|(_, p)| p.stopping.is_some()) {
+        for task in self.job_index.stopping() {
+            let Some(job) = self.jobs.get(&task.job) else {
+                continue;
+            };
+            let placement = job.placement(task.index);
+            if let Some(p) = placement.filter(|p| p.stopping.is_some()) {
                 *coming.entry(p.machine.clone()).or_default() += job.spec.need();
             }
+        }
+        for id in self.job_index.claimants() {
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
             job.claims.retain(|(_, until)| *until > now);
             for (machine, _) in &job.claims {
                 *coming.entry(machine.clone()).or_default() -= job.spec.need();
             }
         }
+        self.job_index.prune(&self.jobs);
         coming
     }
 
@@ -60,7 +77,8 @@
         if open > 0 && room.stoppable.is_none() {
             room.stoppable = Some(self.stoppable(&room.coming));
         }
-        for _ in 0..open.min(STOPS_PER_ROUND) {
+        let most = STOPS_PER_ROUND.max(self.machines.len() / MACHINES_PER_STOP);
+        for _ in 0..open.min(most) {
             planned += spec.need();
             if !self.within_limit(&spec.team, &planned) {
                 return;
@@ -88,6 +106,7 @@
             }
             if let Some(job) = self.jobs.get_mut(id) {
                 job.claims.push((machine, until));
+                self.job_index.note_claimant(id);
             }
         }
     }
@@ -101,6 +120,7 @@
             return;
         };
         p.stopping = Some(StopReason::Preempted);
+        self.job_index.note_stopping(task.clone());
         self.notes.push(format!(
             "event=preempted task={task} machine={} by={by}",
             p.machine
@@ -109,12 +129,9 @@
 
     /// Machines with tasks that may be stopped for one job or another, or with room coming.
     fn stoppable(&self, coming: &BTreeMap<MachineId, Room>) -> Vec<MachineId> {
-        let may_be = |task: &TaskId| {
-            let job = self.jobs.get(&task.job);
-            job.is_some_and(|j| j.spec.priority < Priority::Critical)
-        };
+        self.count_steps(self.machines.len());
         let worth = |(id, m): &(&MachineId, &Machine)| {
-            m.takes_offers() && (m.held.keys().any(may_be) || coming.contains_key(*id))
+            m.takes_offers() && (m.holds_below(Priority::Critical) || coming.contains_key(*id))
         };
         let machines = self.machines.iter().filter(worth);
         machines.map(|(id, _)| id.clone()).collect()
@@ -184,7 +201,8 @@
 
     /// Whether the job is to get its team's guarantee, and the platform has an aim for that.
     fn is_entitled(&self, id: &JobId) -> bool {
-        self.config.guarantee_within.is_some() && self.guaranteed.contains(id)
+        self.config.guarantee_within.is_some()
+            && self.jobs.get(id).is_some_and(|j| self.guarantees.covers(j))
     }
 
     /// The work that stopping a task would lose, or none if it must not be stopped for this job. Where stopping only
@@ -207,7 +225,7 @@
         let owed = job.spec.team != by.spec.team
             && by.spec.priority < Priority::Critical
             && self.is_entitled(&task.job)
-            && !self.guaranteed.contains(&by.spec.id);
+            && !self.guarantees.covers(by);
         let lower = job.spec.priority < by.spec.priority && !owed;
         // A job within its own team's guarantee would be entitled to the place again, and the two would take it from
         // each other for ever. Services of the highest priority are spared even where the rules allow to stop them.
@@ -215,7 +233,7 @@
             && job.spec.team != by.spec.team
             && job.spec.priority < Priority::Critical
             && self.borrows(&job.spec.team)
-            && !self.guaranteed.contains(&task.job);
+            && !self.guarantees.covers(job);
         if !(lower || lent) {
             return None;
         }
--- a/src/scheduler/quota.rs
+++ b/src/scheduler/quota.rs
@@ -1,6 +1,10 @@
 //! Teams: limits that hold at every moment, and guarantees that go before borrowing.
 
-use super::*;
+use super::ids::JobId;
+use super::job::Job;
+use super::{Scheduler, TeamShare};
+use crate::units::Room;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 impl TeamShare {
     /// From the settings, where 0 means none.
@@ -42,23 +46,93 @@
         self.teams.get(team).is_some_and(|t| !t.guarantees(&used))
     }
 
-    /// The jobs that fit into their team's guarantee together with the team's earlier ones.
-    pub(super) fn guaranteed_jobs(&self) -> HashSet<JobId> {
-        let mut by_age: Vec<&Job> = self.jobs.values().filter(|j| !j.ending).collect();
-        by_age.sort_by(|a, b| (a.at, &a.spec.id).cmp(&(b.at, &b.spec.id)));
-        let mut sums: BTreeMap<&str, Room> = BTreeMap::new();
-        let mut within = HashSet::new();
-        for job in by_age {
-            let Some(share) = self.teams.get(&job.spec.team) else {
+    /// How many more tasks of this size the team may use beside `planned`.
+    pub(super) fn tasks_within_limit(&self, team: &str, planned: &Room, need: &Room) -> usize {
+        let Some(share) = self.teams.get(team) else {
+            return usize::MAX;
+        };
+        let used = self.team_used.get(team).copied().unwrap_or_default() + *planned;
+        let more = |most: Option<i64>, used: i64, need: i64| match most {
+            Some(most) if need > 0 => ((most - used) / need).max(0) as usize,
+            Some(most) if used > most => 0,
+            _ => usize::MAX,
+        };
+        more(share.most[0], used.cores, need.cores).min(more(share.most[1], used.cards, need.cards))
+    }
+
+    /// Looks anew at the teams of which a job came, went or got smaller.
+    pub(super) fn refresh_guarantees(&mut self) {
+        let steps = self.guarantees.refresh(&self.teams, &self.jobs);
+        self.count_steps(steps);
+    }
+}
+
+/// The jobs that fit into their team's guarantee together with the team's earlier ones.
+#[derive(Debug, Default)]
+pub(super) struct Guarantees {
+    /// Each team's jobs in the order in which they came.
+    by_age: BTreeMap<String, BTreeSet<(u64, JobId)>>,
+    within: BTreeMap<String, HashSet<JobId>>,
+    /// Teams to be looked at anew.
+    stale: BTreeSet<String>,
+}
+
+impl Guarantees {
+    /// A job came.
+    pub(super) fn add(&mut self, job: &Job) {
+        let team = self.by_age.entry(job.spec.team.clone()).or_default();
+        team.insert((job.at, job.spec.id.clone()));
+        self.note_change(&job.spec.team);
+    }
+
+    /// A job is gone.
+    pub(super) fn remove(&mut self, job: &Job) {
+        if let Some(team) = self.by_age.get_mut(&job.spec.team) {
+            team.remove(&(job.at, job.spec.id.clone()));
+        }
+        self.note_change(&job.spec.team);
+    }
+
+    /// A job of the team was ended, or part of it finished.
+    pub(super) fn note_change(&mut self, team: &str) {
+        if !self.stale.contains(team) {
+            self.stale.insert(team.to_owned());
+        }
+    }
+
+    /// Whether a job is within its team's guarantee, as of the last refresh.
+    pub(super) fn covers(&self, job: &Job) -> bool {
+        let within = self.within.get(&job.spec.team);
+        within.is_some_and(|jobs| jobs.contains(&job.spec.id))
+    }
+
+    /// Brings the teams that changed up to date; how many jobs were looked at.
+    fn refresh(
+        &mut self,
+        teams: &BTreeMap<String, TeamShare>,
+        jobs: &BTreeMap<JobId, Job>,
+    ) -> usize {
+        let mut steps = 0;
+        for team in std::mem::take(&mut self.stale) {
+            let within = self.within.entry(team.clone()).or_default();
+            within.clear();
+            let Some(share) = teams.get(&team) else {
                 continue;
             };
-            let sum = sums.entry(&job.spec.team).or_default();
-            let left = (job.spec.tasks - job.done) as usize;
-            *sum += job.spec.need().times(left);
-            if share.guarantees(sum) {
-                within.insert(job.spec.id.clone());
+            let mut sum = Room::default();
+            for (_, id) in self.by_age.get(&team).into_iter().flatten() {
+                steps += 1;
+                let Some(job) = jobs.get(id).filter(|j| !j.ending) else {
+                    continue;
+                };
+                sum += job.spec.need().times((job.spec.tasks - job.done) as usize);
+                // The sum only grows, so nothing that comes later fits any more.
+                if !share.guarantees(&sum) {
+                    break;
+                }
+                within.insert(id.clone());
             }
         }
-        within
+        steps
     }
 }
--- /dev/null
+++ b/src/scheduler/reconciliation.rs
@@ -0,0 +1,275 @@
+//! Placements compared with reports, task by task: what each report proves, and what follows from it.
+
+use super::Scheduler;
+use super::ids::{MachineId, TaskId};
+use super::job::Placement;
+use super::messages::{ExitCause, Report, ReportIndex, ReportedTask, TaskState};
+use super::records::CHUNK;
+use crate::units::Micros;
+use ravenhead_recovery::{
+    JobState, RecordedVerdict, ReportContext, Resolution, UnrecordedTask, UnrecordedVerdict,
+    reconcile_recorded, reconcile_unrecorded,
+};
+use std::collections::BTreeMap;
+
+/// Pause after a worker refused a start.
+const REFUSED_BACKOFF: Micros = Micros::secs(1);
+
+impl Scheduler {
+    /// Compares the placements on the machine with what it reports.
+    pub(super) fn reconcile_placements(
+        &mut self,
+        r: &Report,
+        index: &ReportIndex<'_>,
+        now: Micros,
+    ) -> bool {
+        let Some(m) = self.machines.get(&r.machine) else {
+            return false;
+        };
+        let held: Vec<TaskId> = m.held.keys().cloned().collect();
+        let context = ReportContext {
+            position: r.position(),
+            shows_token: r.token == self.token,
+            answers_arrive: !m.is_doubtful(),
+        };
+        self.count_steps(held.len() + r.tasks.len());
+        let mut changed = false;
+        for task in held {
+            let Some(p) = self.placement(&task) else {
+                continue;
+            };
+            let found = index.get(&task, p.attempt);
+            changed |= self.reconcile_placement(&task, found, &context, &r.machine, now);
+        }
+        changed
+    }
+
+    /// Compares one placement with what its machine reports of it; whether something follows.
+    fn reconcile_placement(
+        &mut self,
+        task: &TaskId,
+        found: Option<&ReportedTask>,
+        context: &ReportContext,
+        machine: &MachineId,
+        now: Micros,
+    ) -> bool {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return false;
+        };
+        let is_wanted = !job.ending;
+        let Some(p) = job.placement_mut(task.index) else {
+            return false;
+        };
+        let recorded = p.as_recorded(is_wanted);
+        let verdict = reconcile_recorded(&recorded, found.map(ReportedTask::outcome), context);
+        if let Some(t) = found {
+            p.seen = Some(t.state);
+            if context.shows_token {
+                // The worker has seen this leader's token, so no order of an earlier leader can follow.
+                p.inherited = false;
+                p.sent = Some(context.position);
+            }
+        }
+        if let Some(how) = resolution(verdict) {
+            self.confirm(task, how);
+        }
+        match verdict {
+            RecordedVerdict::Agrees => {
+                if found.is_some_and(|t| t.state == TaskState::Running) {
+                    self.note_running(task, machine, now);
+                }
+                false
+            }
+            RecordedVerdict::Ended { .. } => {
+                self.task_exited(task, machine, found.and_then(|t| t.cause), now);
+                true
+            }
+            RecordedVerdict::Unconfirmed => false,
+            RecordedVerdict::OrderLost => {
+                if let Some(p) = self.placement_mut(task) {
+                    p.sent = None;
+                }
+                false
+            }
+            RecordedVerdict::Gone => {
+                self.release(&task.job, task.index);
+                self.requeue(&task.job, now);
+                true
+            }
+        }
+    }
+
+    fn placement(&self, task: &TaskId) -> Option<&Placement> {
+        self.jobs.get(&task.job)?.placement(task.index)
+    }
+
+    fn placement_mut(&mut self, task: &TaskId) -> Option<&mut Placement> {
+        self.jobs.get_mut(&task.job)?.placement_mut(task.index)
+    }
+
+    /// A placed task is reported as running, perhaps for the first time.
+    fn note_running(&mut self, task: &TaskId, machine: &MachineId, now: Micros) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let Some(p) = job.placement_mut(task.index) else {
+            return;
+        };
+        if p.running_since.is_some() {
+            return;
+        }
+        p.running_since = Some(now);
+        self.new_images.insert(machine.clone());
+        self.details
+            .push(format!("event=running task={task} machine={machine}"));
+        self.note_image(machine, &spec);
+    }
+
+    /// A placed task ended.
+    fn task_exited(
+        &mut self,
+        task: &TaskId,
+        machine: &MachineId,
+        cause: Option<ExitCause>,
+        now: Micros,
+    ) {
+        if cause == Some(ExitCause::Done) {
+            self.finish(&task.job, task.index);
+            self.details
+                .push(format!("event=finished task={task} machine={machine}"));
+            if let Some(m) = self.machines.get_mut(machine) {
+                m.failed_jobs.clear();
+            }
+            self.note_success(&task.job);
+            return;
+        }
+        self.details.push(format!(
+            "event=exited task={task} machine={machine} cause={cause:?}"
+        ));
+        self.release(&task.job, task.index);
+        self.requeue(&task.job, now);
+        match cause {
+            Some(ExitCause::Error) => self.task_failed(task, machine, now),
+            Some(ExitCause::NoRoom | ExitCause::Busy | ExitCause::Unknown) => {
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    job.next_try = now + REFUSED_BACKOFF;
+                }
+                self.notes.push(format!(
+                    "event=start_refused task={task} machine={machine} cause={cause:?}"
+                ));
+            }
+            _ => {}
+        }
+    }
+
+    /// Deals with what is reported but not placed: stale attempts, strangers, tasks that ended before.
+    pub(super) fn reconcile_unplaced(&mut self, r: &Report, now: Micros) -> bool {
+        let mut exited = Vec::new();
+        let mut extra = BTreeMap::new();
+        let mut changed = false;
+        for t in &r.tasks {
+            let Some(task) = TaskId::parse(&t.task) else {
+                self.notes.push(format!(
+                    "event=odd_task machine={} task={:?}",
+                    r.machine, t.task
+                ));
+                continue;
+            };
+            let placed = self.placement(&task);
+            if placed.is_some_and(|p| p.machine == r.machine && p.attempt == t.attempt) {
+                continue;
+            }
+            let verdict = reconcile_unrecorded(&self.as_unrecorded(&task), t.outcome());
+            self.count_unrecorded(verdict);
+            match verdict {
+                UnrecordedVerdict::FinishedUnwritten => {
+                    self.finish(&task.job, task.index);
+                    changed = true;
+                    exited.push((task, t.attempt));
+                }
+                UnrecordedVerdict::Ended => exited.push((task, t.attempt)),
+                UnrecordedVerdict::Adopted => {
+                    self.adopt(&task, r, t, now);
+                    changed = true;
+                }
+                UnrecordedVerdict::OtherAttempt
+                | UnrecordedVerdict::AlreadyFinished
+                | UnrecordedVerdict::JobOver
+                | UnrecordedVerdict::Unknown => {
+                    let need = self.jobs.get(&task.job).map(|j| j.spec.need());
+                    extra.insert((task, t.attempt), need);
+                }
+            }
+        }
+        let Some(m) = self.machines.get_mut(&r.machine) else {
+            return changed;
+        };
+        for room in m.extra.values() {
+            m.used -= *room;
+        }
+        // Nobody knows what a stranger takes: the machine counts as full until it is gone.
+        let total = m.total;
+        m.extra = extra
+            .into_iter()
+            .map(|(task, need)| (task, need.unwrap_or(total)))
+            .collect();
+        for room in m.extra.values() {
+            m.used += *room;
+        }
+        m.exited = exited;
+        changed
+    }
+
+    /// What is recorded of a task that a machine reports without a placement of that attempt there.
+    fn as_unrecorded(&self, task: &TaskId) -> UnrecordedTask {
+        let job = self.jobs.get(&task.job);
+        UnrecordedTask {
+            job: match job {
+                None => JobState::Unknown,
+                Some(job) if job.ending => JobState::Over,
+                Some(_) => JobState::Open,
+            },
+            exists: job.is_some_and(|j| task.index < j.spec.tasks),
+            is_finished: job.is_some_and(|j| j.is_finished(task.index)),
+            other_attempt: self.placement(task).is_some(),
+        }
+    }
+
+    fn adopt(&mut self, task: &TaskId, r: &Report, t: &ReportedTask, now: Micros) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let chunk = job.chunks.entry(task.index / CHUNK).or_default();
+        chunk.last_attempt = chunk.last_attempt.max(t.attempt);
+        chunk.live.insert(
+            (task.index % CHUNK) as u8,
+            Placement {
+                machine: r.machine.clone(),
+                attempt: t.attempt,
+                committed: false,
+                inherited: r.token != self.token,
+                sent: Some(r.position()),
+                seen: Some(t.state),
+                running_since: None,
+                stopping: None,
+            },
+        );
+        self.note_change(&task.job, task.index / CHUNK);
+        self.hold(&task.job, task.index, &r.machine, now);
+        self.notes.push(format!(
+            "event=task_adopted task={task} machine={}",
+            r.machine
+        ));
+    }
+}
+
+/// How a verdict confirms a recorded task, if it does.
+fn resolution(verdict: RecordedVerdict) -> Option<Resolution> {
+    match verdict {
+        RecordedVerdict::Agrees => Some(Resolution::Agreed),
+        RecordedVerdict::Ended { .. } => Some(Resolution::Ended),
+        RecordedVerdict::Gone => Some(Resolution::Gone),
+        RecordedVerdict::Unconfirmed | RecordedVerdict::OrderLost => None,
+    }
+}
--- a/src/scheduler/rental_plan.rs
+++ b/src/scheduler/rental_plan.rs
@@ -9,14 +9,19 @@
 use super::reserve::Reserve;
 use super::{JobId, Scheduler, TaskId};
 use crate::units::{Micros, Room};
+use ravenhead_index::FirstFit;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// Tasks looked at in one round when counting what to rent.
-const TASKS_PER_ROUND: usize = 10_000;
+/// Steps of one plan, each of which fills a machine or goes on to the next; or so many for each machine, if that is more.
+const STEPS_PER_PLAN: usize = 10_000;
+const STEPS_PER_MACHINE: usize = 4;
 /// Fewer waiting tasks than this are no ramp.
 const RAMP_FROM: usize = 16;
 
+/// What the index knows of a bin: its free room, and as flags what some jobs ask for.
+type Amounts = [i64; 5];
+
 /// Room that is expected: a machine that boots, is being rented, or is about to be rented.
 struct Bin {
     pool: Pool,
@@ -28,9 +33,42 @@
     later: bool,
 }
 
+impl Bin {
+    /// A machine that is being rented, or about to be.
+    fn rented(pool: Pool, room: Room, new: bool) -> Bin {
+        Bin {
+            pool,
+            free: room,
+            slots: MOST_TASKS,
+            new,
+            later: false,
+        }
+    }
+
+    /// How many tasks of this size it takes, of so many.
+    fn takes(&self, need: &Room, wanted: usize) -> usize {
+        self.free.count_of(need).min(self.slots).min(wanted)
+    }
+
+    fn fill(&mut self, need: &Room, tasks: usize) {
+        self.free -= need.times(tasks);
+        self.slots -= tasks;
+    }
+
+    fn amounts(&self) -> Amounts {
+        if self.slots == 0 {
+            return [i64::MIN; 5];
+        }
+        let Room { cores, cards, ram } = self.free;
+        let (now, ordinary) = (!self.later, !self.pool.spot);
+        [cores, cards, ram, i64::from(now), i64::from(ordinary)]
+    }
+}
+
 /// A plan of rentals in the making.
 struct Plan {
     bins: Vec<Bin>,
+    index: FirstFit<5>,
     /// The first bin that may take the next task of the job at hand.
     next: usize,
     /// Machines to be rented by it.
@@ -39,6 +77,25 @@
     in_zone: BTreeMap<String, usize>,
 }
 
+impl Plan {
+    fn fill(&mut self, bin: usize, need: &Room, tasks: usize) {
+        self.bins[bin].fill(need, tasks);
+        self.index.set(bin, self.bins[bin].amounts());
+    }
+
+    fn add(&mut self, bin: Bin) -> usize {
+        self.index.push(bin.amounts());
+        self.bins.push(bin);
+        self.bins.len() - 1
+    }
+}
+
+/// Tasks of one job for which room was found: in which zone, and how many.
+struct Found {
+    zone: String,
+    tasks: usize,
+}
+
 impl Scheduler {
     /// What to rent for waiting tasks that neither free nor coming room will hold, and for the reserve.
     pub(super) fn plan_rentals(
@@ -51,36 +108,63 @@
         if now.since(self.began) < hears_for && !self.all_have_reported() {
             return Vec::new();
         }
+        let free = reserve.as_ref().map_or(0, |r| self.free_places(&r.like));
+        let ramp = reserve.as_ref().map_or(0, |_| self.ramp_extra());
+        let places = reserve.as_ref().map_or(0, |r| r.places);
+        let waiting = self.waiting_jobs(now);
+        if waiting.is_empty() && free >= places.max(ramp) {
+            return Vec::new();
+        }
         let mut plan = self.begin_plan(now);
-        let mut planned_use: BTreeMap<String, Room> = BTreeMap::new();
-        let mut left = TASKS_PER_ROUND;
         if let Some(reserve) = &reserve {
-            self.plan_places(&reserve.like, self.ramp_extra(), &mut plan, now);
+            self.plan_places(&reserve.like, ramp.saturating_sub(free), &mut plan, now);
+        }
+        self.plan_waiting(&waiting, &mut plan, now);
+        if let Some(reserve) = &reserve {
+            self.plan_places(&reserve.like, places.saturating_sub(free), &mut plan, now);
         }
-        for id in self.waiting_jobs(now) {
-            let Some(job) = self.jobs.get(&id) else {
+        self.requests(plan)
+    }
+
+    /// Finds room for the waiting tasks of these jobs, in their order.
+    fn plan_waiting(&self, waiting: &[JobId], plan: &mut Plan, now: Micros) {
+        let mut planned_use: BTreeMap<String, Room> = BTreeMap::new();
+        let mut left = STEPS_PER_PLAN.max(self.machines.len() * STEPS_PER_MACHINE);
+        for id in waiting {
+            let Some(job) = self.jobs.get(id) else {
                 continue;
             };
             let spec = job.spec.clone();
             let need = spec.need();
+            let planned = planned_use.entry(spec.team.clone()).or_default();
+            // Where it matters which zone the others are in, each is planned by itself.
+            let at_once = if spec.together || spec.spread {
+                1
+            } else {
+                usize::MAX
+            };
             let mut in_zone: BTreeMap<String, u32> = BTreeMap::new();
+            let mut open = job.open() as usize;
             plan.next = 0;
-            for _ in 0..job.open() {
-                let planned = planned_use.entry(spec.team.clone()).or_default();
-                if left == 0 || !self.within_limit(&spec.team, &(*planned + need)) {
+            while open > 0 && left > 0 {
+                left -= 1;
+                let allowed = self.tasks_within_limit(&spec.team, planned, &need);
+                let wanted = open.min(allowed).min(at_once);
+                if wanted == 0 {
                     break;
                 }
-                let Some(zone) = self.plan_task(job, &in_zone, &mut plan, now) else {
+                let Some(found) = self.plan_tasks(job, wanted, &in_zone, plan, now) else {
                     break;
                 };
-                *planned += need;
-                *in_zone.entry(zone).or_default() += 1;
-                left -= 1;
+                *planned += need.times(found.tasks);
+                *in_zone.entry(found.zone).or_default() += found.tasks as u32;
+                open -= found.tasks;
             }
         }
-        if let Some(reserve) = reserve {
-            self.plan_places(&reserve.like, reserve.places, &mut plan, now);
-        }
+    }
+
+    /// The machines that a plan adds, pool by pool, as many as may be rented at a time.
+    fn requests(&self, plan: Plan) -> Vec<RentalRequest> {
         let mut requests: BTreeMap<Pool, usize> = BTreeMap::new();
         for bin in plan.bins.into_iter().filter(|b| b.new) {
             *requests.entry(bin.pool).or_default() += 1;
@@ -97,15 +181,17 @@
         rent
     }
 
-    /// Sees to it that there are, or come, so many places for such tasks.
+    /// Sees to it that so many more places for such tasks come.
     fn plan_places(&self, spec: &Rc<JobSpec>, places: usize, plan: &mut Plan, now: Micros) {
         let job = Job::new(spec.clone(), 0, None, Micros::ZERO);
         let nowhere = BTreeMap::new();
         plan.next = 0;
-        for _ in self.free_places(spec)..places {
-            if self.plan_task(&job, &nowhere, plan, now).is_none() {
+        let mut left = places;
+        while left > 0 {
+            let Some(found) = self.plan_tasks(&job, left, &nowhere, plan, now) else {
                 return;
-            }
+            };
+            left -= found.tasks;
         }
     }
 
@@ -137,9 +223,9 @@
     /// nothing is rented as long as there is any machine that it could fail on.
     fn waiting_jobs(&self, now: Micros) -> Vec<JobId> {
         let any_up = self.machines.values().any(Machine::takes_offers);
+        self.count_steps(self.job_index.waiting_count());
         let mut waiting: Vec<&Job> = self
-            .jobs
-            .values()
+            .open_jobs()
             .filter(|j| j.open() > 0 && j.next_try <= now + Micros::secs(2))
             .filter(|j| !(j.at_fault && any_up))
             .collect();
@@ -199,15 +285,9 @@
             let Some(machine_type) = self.machine_types.get(&request.pool.machine_type) else {
                 continue;
             };
-            for _ in 0..request.count {
-                bins.push(Bin {
-                    pool: request.pool.clone(),
-                    free: machine_type.room(),
-                    slots: MOST_TASKS,
-                    new: false,
-                    later: false,
-                });
-            }
+            let room = machine_type.room();
+            let rented = || Bin::rented(request.pool.clone(), room, false);
+            bins.extend(std::iter::repeat_with(rented).take(request.count));
         }
         bins
     }
@@ -242,22 +322,25 @@
                 }
             }
         }
+        let bins = self.coming(now);
         Plan {
-            bins: self.coming(now),
+            index: FirstFit::new(bins.iter().map(Bin::amounts)),
+            bins,
             next: 0,
             rented: 0,
             in_zone,
         }
     }
 
-    /// Finds coming room for a task, or adds a machine to rent; the zone, or none where nothing can be had.
-    fn plan_task(
+    /// Finds coming room for some of these tasks of a job, or adds a machine to rent; none where nothing can be had.
+    fn plan_tasks(
         &self,
         job: &Job,
+        wanted: usize,
         in_zone: &BTreeMap<String, u32>,
         plan: &mut Plan,
         now: Micros,
-    ) -> Option<String> {
+    ) -> Option<Found> {
         let spec = &job.spec;
         let need = spec.need();
         let zone_fits = |zone: &str| {
@@ -269,19 +352,30 @@
         // For latency-sensitive work a rented machine comes later than what ends within a part of a boot.
         let patient = spec.due_s.is_none() && self.has_time_for_boots(spec)
             || self.is_latency_sensitive(spec);
+        let Room { cores, cards, ram } = need;
+        let ordinary_only = !spec.spot || job.lost_on_spot;
+        let least = [
+            cores,
+            cards,
+            ram,
+            i64::from(!patient),
+            i64::from(ordinary_only),
+        ];
         // What did not take one task of a job does not take the next.
-        while let Some(bin) = plan.bins.get_mut(plan.next) {
-            if bin.free.holds(&need)
-                && bin.slots > 0
-                && (patient || !bin.later)
-                && job.allows(&bin.pool.machine_type, &bin.pool.zone, bin.pool.spot)
-                && zone_fits(&bin.pool.zone)
+        while let Some(i) = plan.index.first_from(plan.next, &least) {
+            self.count_steps(1);
+            plan.next = i;
+            let bin = &plan.bins[i];
+            let zone = bin.pool.zone.clone();
+            let tasks = bin.takes(&need, wanted);
+            if tasks > 0
+                && job.allows(&bin.pool.machine_type, &zone, bin.pool.spot)
+                && zone_fits(&zone)
             {
-                bin.free -= need;
-                bin.slots -= 1;
-                return Some(bin.pool.zone.clone());
+                plan.fill(i, &need, tasks);
+                return Some(Found { zone, tasks });
             }
-            plan.next += 1;
+            plan.next = i + 1;
         }
         if plan.rented >= self.config.rent_per_round {
             return None;
@@ -290,14 +384,11 @@
         let zone = pool.zone.clone();
         plan.rented += 1;
         *plan.in_zone.entry(zone.clone()).or_default() += 1;
-        plan.bins.push(Bin {
-            pool,
-            free: room - need,
-            slots: MOST_TASKS - 1,
-            new: true,
-            later: false,
-        });
-        Some(zone)
+        let bin = Bin::rented(pool, room, true);
+        let tasks = bin.takes(&need, wanted).max(1);
+        let i = plan.add(bin);
+        plan.fill(i, &need, tasks);
+        Some(Found { zone, tasks })
     }
 
     /// Whether the start aim of the job's class, if it has one, leaves the time of two boots.
--- a/src/scheduler/scenarios/mod.rs
+++ b/src/scheduler/scenarios/mod.rs
@@ -8,6 +8,7 @@
 mod recovery;
 mod turns;
 
+use super::machine::MOST_TASKS;
 use super::*;
 use crate::cloud::{Listed, ListedStatus};
 
--- a/src/scheduler/writes.rs
+++ b/src/scheduler/writes.rs
@@ -4,9 +4,13 @@
 
 use super::Scheduler;
 use super::ids::{JobId, MachineId};
+use super::job::Job;
+use super::job_spec::Priority;
 use super::machine::CachedImage;
 use super::records::{CHUNK, ChunkRecord};
 use crate::units::Micros;
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, HashMap};
 
 /// Most changes of one write, those that remove records aside.
 const MOST_OPS: usize = 3;
@@ -87,7 +91,89 @@
     }
 }
 
+/// A chunk's place among those to be written: by its job's priority, the highest first, then by name.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct ChunkPlace {
+    priority: Reverse<Priority>,
+    job: JobId,
+    chunk: u32,
+}
+
+impl ChunkPlace {
+    pub(super) fn new(priority: Priority, job: &JobId, chunk: u32) -> ChunkPlace {
+        ChunkPlace {
+            priority: Reverse(priority),
+            job: job.clone(),
+            chunk,
+        }
+    }
+}
+
+/// Chunks whose changes wait for others of their job, those that changed first in front.
+///
+/// Guards against looking at every chunk of a job of a hundred thousand tasks again for each batch, only to find that it
+/// still waits.
+#[derive(Debug, Default)]
+pub(super) struct Deferred {
+    by_change: BTreeSet<(Micros, ChunkPlace)>,
+    changed_at: HashMap<JobId, HashMap<u32, Micros>>,
+}
+
+impl Deferred {
+    fn insert(&mut self, place: ChunkPlace, changed_at: Micros) {
+        let chunks = self.changed_at.entry(place.job.clone()).or_default();
+        chunks.insert(place.chunk, changed_at);
+        self.by_change.insert((changed_at, place));
+    }
+
+    /// A chunk waits no more.
+    pub(super) fn remove(&mut self, place: &ChunkPlace) {
+        let Some(chunks) = self.changed_at.get_mut(&place.job) else {
+            return;
+        };
+        if let Some(changed_at) = chunks.remove(&place.chunk) {
+            self.by_change.remove(&(changed_at, place.clone()));
+        }
+        if chunks.is_empty() {
+            self.changed_at.remove(&place.job);
+        }
+    }
+
+    /// The chunks that changed at or before this time wait no more.
+    fn take_until(&mut self, time: Micros) -> Vec<ChunkPlace> {
+        let mut taken = Vec::new();
+        while let Some((changed_at, place)) = self.by_change.first()
+            && *changed_at <= time
+        {
+            let place = place.clone();
+            self.remove(&place);
+            taken.push(place);
+        }
+        taken
+    }
+
+    /// The chunks of a job wait no more.
+    fn take_job(&mut self, job: &JobId, priority: Priority) -> Vec<ChunkPlace> {
+        let chunks = self.changed_at.get(job).into_iter().flatten();
+        let places: Vec<ChunkPlace> = chunks
+            .map(|(chunk, _)| ChunkPlace::new(priority, job, *chunk))
+            .collect();
+        for place in &places {
+            self.remove(place);
+        }
+        places
+    }
+}
+
 impl Scheduler {
+    /// A job's changes are written as soon as can be from now on.
+    pub(super) fn stop_deferring(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get(id) {
+            let places = self.deferred.take_job(id, job.spec.priority);
+            self.dirty.extend(places);
+        }
+    }
+
     /// What is to be written next, at most `ops` puts and deletes and about `bytes`; where writes are `short` only what
     /// users and workers wait for.
     ///
@@ -96,16 +182,23 @@
         let mut batch = Vec::new();
         let mut left = ops;
         let mut size = 0;
-        let mut later = Vec::new();
+        let waited_enough = if short {
+            self.latest.since(FINISHES_WAIT)
+        } else {
+            self.latest
+        };
+        let ready = self.deferred.take_until(waited_enough);
+        self.dirty.extend(ready);
         while left >= MOST_OPS && size < bytes {
             let Some(place) = self.dirty.pop_first() else {
                 break;
             };
-            if short && self.can_wait(&place.1, place.2) {
-                later.push(place);
+            self.count_steps(1);
+            if short && let Some(changed_at) = self.can_wait(&place.job, place.chunk) {
+                self.deferred.insert(place, changed_at);
                 continue;
             }
-            let (_, id, number) = place;
+            let (id, number) = (place.job, place.chunk);
             if let Some(whole) = self.whole_end(&id) {
                 left -= whole.ops();
                 batch.push(whole);
@@ -133,7 +226,6 @@
                 version: chunk.version,
             });
         }
-        self.dirty.extend(later);
         self.add_ends(&mut batch, &mut left);
         if short {
             return batch;
@@ -145,21 +237,18 @@
         batch
     }
 
-    /// Whether nobody waits for a chunk's changes: its job goes on, nothing is newly placed, and it changed just now.
+    /// When a chunk changed, if nobody waits for that: its job goes on, nothing is newly placed, and it changed just now.
     ///
     /// Guards against the finishes of many short tasks, each written by itself, that use up the writes for which starts
     /// wait. What is not written yet still stands in the workers' reports, as it is not cleared before.
-    fn can_wait(&self, id: &JobId, number: u32) -> bool {
-        let Some(job) = self.jobs.get(id) else {
-            return false;
-        };
-        let Some(chunk) = job.chunks.get(&number) else {
-            return false;
-        };
-        !job.ending
+    fn can_wait(&self, id: &JobId, number: u32) -> Option<Micros> {
+        let job = self.jobs.get(id)?;
+        let chunk = job.chunks.get(&number)?;
+        let waits = !job.ending
             && job.done < job.spec.tasks
             && chunk.live.values().all(|p| p.committed)
-            && self.latest.since(chunk.changed_at) < FINISHES_WAIT
+            && self.latest.since(chunk.changed_at) < FINISHES_WAIT;
+        waits.then_some(chunk.changed_at)
     }
 
     /// The end of a job of one chunk whose tasks are all finished, with nothing left of it: three changes in place of five,
@@ -173,6 +262,7 @@
         let chunk = job.chunks.get_mut(&0).filter(|c| c.dirty)?;
         chunk.dirty = false;
         job.ending = true;
+        self.guarantees.note_change(&job.spec.team);
         Some(Write::Whole {
             job: id.clone(),
             tasks: job.spec.tasks,
@@ -222,6 +312,7 @@
                 .sum();
             if !job.ending && written == job.spec.tasks {
                 job.ending = true;
+                self.guarantees.note_change(&job.spec.team);
                 *left -= 1;
                 batch.push(Write::Done {
                     job: id.clone(),
@@ -306,13 +397,34 @@
         for (number, _) in chunks {
             job.chunks.remove(number);
         }
-        if whole {
-            self.jobs.remove(id);
+        if whole && let Some(job) = self.jobs.remove(id) {
+            self.guarantees.remove(&job);
+            self.job_index.forget(id);
             self.over.remove(id);
-            self.dirty.retain(|(_, job, _)| job != id);
+            self.drop_changes(&job);
         }
     }
 
+    /// Nothing of a job that is gone is written any more.
+    fn drop_changes(&mut self, job: &Job) {
+        let (id, priority) = (&job.spec.id, job.spec.priority);
+        self.deferred.take_job(id, priority);
+        let all = ChunkPlace::new(priority, id, 0)..=ChunkPlace::new(priority, id, u32::MAX);
+        let places: Vec<ChunkPlace> = self.dirty.range(all).cloned().collect();
+        for place in places {
+            self.dirty.remove(&place);
+        }
+    }
+
+    /// The end of a job was not written after all.
+    fn goes_on(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.ending = job.end.is_some();
+            self.guarantees.note_change(&job.spec.team);
+        }
+        self.note_waiting(id);
+    }
+
     /// A batch was certainly not applied.
     pub fn batch_dropped(&mut self, batch: &[Write]) {
         for write in batch {
@@ -321,16 +433,10 @@
                     self.note_change(job, *chunk);
                 }
                 Write::Whole { job, .. } => {
-                    if let Some(j) = self.jobs.get_mut(job) {
-                        j.ending = j.end.is_some();
-                    }
+                    self.goes_on(job);
                     self.note_change(job, 0);
                 }
-                Write::Done { job, .. } => {
-                    if let Some(j) = self.jobs.get_mut(job) {
-                        j.ending = j.end.is_some();
-                    }
-                }
+                Write::Done { job, .. } => self.goes_on(job),
                 Write::Images { machine, .. } => {
                     if let Some(m) = self.machines.get_mut(machine) {
                         m.written_images.clear();
