No fixed limit below 4,000 machines: sockets, lists, cancellations, contacts, jobs, backlog

Cause, read from the code: names of cancellations and newcomers were bounded at 4,000, the latter with a walk over all for each report beyond it; what was found gone beyond a message's bound was never told; a machine list of nine pages at three requests a second was refused and read from its beginning for ever; more workers than sockets kept each other out by idle connections; eight kept connections to the leader for hundreds of reports side by side; contacts at 32 bytes a name; 1,536 jobs at 72 MB; each report looked at every known cancellation; a backlog was offered whole every 0.4 s.

Change: bounds are derived from settings or the protocol, or generous. Workers' connections end with each answer above nine tenths of the sockets.

A test was wrong for this: where_sockets_are_short... wanted workers' connections to stay however few sockets are left, which keeps out every worker beyond the sockets. It now wants users' connections to end first, workers' only where sockets are full, and neither once they are not.

--- a/tests/support/keys.rs
+++ b/crates/stand-ins/src/keys.rs
@@ -5,6 +5,7 @@
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 
 /// How the stand-in for the state service fails.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -24,27 +25,44 @@
 /// A small key-value store by the published protocol.
 #[derive(Default)]
 pub struct Keys {
+    /// The revision of the last change.
     pub epoch: u64,
+    /// Values with the revisions of their last change.
     pub keys: BTreeMap<String, (Value, u64)>,
+    /// All changes with their revisions.
     pub news: Vec<(u64, Value)>,
+    /// How it fails.
     pub trouble: Option<Trouble>,
     /// Watches tell nothing after this revision.
     pub held_at: Option<u64>,
     /// The last lease granted, and which keys hang on which.
     pub leases: u64,
+    /// Keys that hang on leases.
     pub hanging: BTreeMap<String, u64>,
     /// Transactions are applied, but their answers are lost.
     pub losing: usize,
     /// Every second transaction gets no answer and is carried out after some newer ones; those that wait.
     pub late: Option<Vec<Value>>,
+    /// How many transactions were asked for.
     pub asked: usize,
+    /// Leases that are over.
     pub ended: BTreeSet<u64>,
 }
 
+/// Most items of one page.
+const MOST_ITEMS: usize = 1_000;
+
+/// A field of a request's query.
+pub fn query_field<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let mut fields = query.split('&').filter_map(|field| field.split_once('='));
+    fields.find(|(n, _)| *n == name).map(|(_, value)| value)
+}
+
 /// How many transactions without an answer wait before the oldest is carried out.
 pub const LATE_KEPT: usize = 4;
 
 impl Keys {
+    /// Applies a transaction if its conditions hold.
     pub fn txn(&mut self, body: &Value) -> Reply {
         let stamp = |keys: &Keys, k: &str| keys.keys.get(k).map_or(0, |(_, s)| *s);
         let when = body["when"].as_array().cloned().unwrap_or_default();
@@ -115,18 +133,37 @@
         Reply::json(200, &json!({}))
     }
 
-    pub fn list(&self) -> Reply {
-        let items: Vec<Value> = self
+    /// A page of the keys with a prefix, as the query of a request asks for it.
+    pub fn list(&self, query: &str) -> Reply {
+        let field = |name: &str| query_field(query, name);
+        let prefix = field("prefix").unwrap_or_default();
+        let from = field("from").unwrap_or_default().to_owned();
+        let page = field("page").and_then(|p| p.parse().ok());
+        let page: usize = page.unwrap_or(MOST_ITEMS).min(MOST_ITEMS);
+        let after = (Bound::Excluded(from), Bound::Unbounded);
+        let mut with_prefix = self
             .keys
-            .iter()
+            .range(after)
+            .filter(|(k, _)| k.starts_with(prefix));
+        let items: Vec<Value> = with_prefix
+            .by_ref()
+            .take(page)
             .map(|(k, (data, stamp))| json!({"k": k, "data": data, "stamp": stamp}))
             .collect();
+        let more = with_prefix.next().is_some();
         Reply::json(
             200,
-            &json!({"items": items, "more": false, "epoch": self.epoch}),
+            &json!({"items": items, "more": more, "epoch": self.epoch}),
         )
     }
 
+    /// The changes after a revision.
+    pub fn news_since(&self, revision: u64) -> impl Iterator<Item = &Value> {
+        let first = self.news.partition_point(|(epoch, _)| *epoch <= revision);
+        self.news[first..].iter().map(|(_, news)| news)
+    }
+
+    /// One key, or the present revision where it does not exist.
     pub fn get(&self, key: &str) -> Reply {
         match self.keys.get(key) {
             Some((data, stamp)) => {
@@ -167,7 +204,7 @@
             keys.end(lease)
         }
         (Method::Post, _) => Reply::json(200, &json!({})),
-        (Method::Get, "/keys") => keys.list(),
+        (Method::Get, "/keys") => keys.list(&call.query),
         (Method::Get, "/watch") => {
             let last = keys.held_at.unwrap_or(keys.epoch);
             let told = keys.news.iter().filter(|(epoch, _)| *epoch <= last);
--- a/src/cancellations.rs
+++ b/src/cancellations.rs
@@ -9,16 +9,21 @@
 use crate::controller::Node;
 use crate::http::{side_by_side, within};
 use crate::peer::Request;
-use crate::scheduler::{Final, JobId, MachineId, Report, TaskId, TaskState};
+use crate::scheduler::{Final, JobId, MachineId, Report, TaskState};
+use crate::store::View;
 use crate::units::Micros;
 use bitcode::{Decode, Encode};
 use log::{debug, info};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use ravenhead_index::{Cursor, CursorLog};
+use std::collections::hash_map::Entry;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// A start that was sent just before a cancellation can still arrive for so long: a worker waits four seconds for it.
 const STARTS_ARRIVE_FOR: Micros = Micros::secs(5);
-/// Most names of machines told in one message.
-const MOST_NAMES: usize = 4_000;
+/// Most bytes of names told in one message, a single cancellation aside: that goes whole, and fits into a frame.
+const MOST_BYTES: usize = 256 * 1024;
+/// Most finds of machines without cancelled tasks told in one message; the others follow in the next.
+const MOST_GONE: usize = 8_192;
 /// How long a user waits for the other controllers to be told.
 const TELL_WITHIN: Micros = Micros::millis(500);
 /// How long the cloud may take to show that it answers.
@@ -39,6 +44,23 @@
     pub machines: Vec<MachineId>,
 }
 
+impl Cancellation {
+    /// About how many bytes it takes in a message.
+    fn bytes(&self) -> usize {
+        let names = self.machines.iter().map(|m| m.0.len() + 1);
+        self.job.0.len() + 16 + names.sum::<usize>()
+    }
+}
+
+/// A machine that was found without tasks of a cancelled job.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Gone {
+    /// The job.
+    pub job: JobId,
+    /// The machine.
+    pub machine: MachineId,
+}
+
 /// What is known of a machine on which cancelled tasks may be left.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Left {
@@ -70,8 +92,12 @@
 pub struct Cancellations {
     known: BTreeMap<JobId, Known>,
     told: BTreeMap<String, Told>,
+    /// Machines on which cancelled tasks may be left, with the jobs.
+    ///
+    /// Guards against looking at every cancellation for every report.
+    left_on: HashMap<MachineId, BTreeSet<JobId>>,
     /// Machines that were found without cancelled tasks, and when.
-    gone: VecDeque<(u64, JobId, MachineId)>,
+    gone: CursorLog<(u64, Gone)>,
 }
 
 impl Cancellations {
@@ -83,8 +109,23 @@
             confirmed: false,
         });
         for machine in &c.machines {
-            known.machines.entry(machine.clone()).or_insert(Left::Maybe);
+            if !known.machines.contains_key(machine) {
+                known.machines.insert(machine.clone(), Left::Maybe);
+                let jobs = self.left_on.entry(machine.clone()).or_default();
+                jobs.insert(c.job.clone());
+            }
+        }
+    }
+
+    /// Nothing of a cancelled job is left on a machine.
+    fn clear(&mut self, gone: Gone, unix_time: u64) {
+        if let Some(jobs) = self.left_on.get_mut(&gone.machine) {
+            jobs.remove(&gone.job);
+            if jobs.is_empty() {
+                self.left_on.remove(&gone.machine);
+            }
         }
+        self.gone.push((unix_time, gone));
     }
 
     /// Whether the job is known to be cancelled.
@@ -112,7 +153,7 @@
     /// What another controller was not told yet, as many as one message holds.
     pub fn untold(&self, peer: &str) -> Vec<Cancellation> {
         let told = self.told.get(peer);
-        let mut names = 0;
+        let mut bytes = 0;
         let untold = self
             .known
             .iter()
@@ -124,8 +165,8 @@
                 machines: k.machines.keys().cloned().collect(),
             })
             .take_while(|c| {
-                names += 1 + c.machines.len();
-                names <= MOST_NAMES || names == 1 + c.machines.len()
+                bytes += c.bytes();
+                bytes <= MOST_BYTES || bytes == c.bytes()
             })
             .collect()
     }
@@ -148,64 +189,79 @@
     /// A report shows whether cancelled tasks are left on its machine: they are gone once two reports in a row, from after
     /// the time in which a start could still arrive, show none.
     pub fn on_report(&mut self, r: &Report, unix_time: u64) {
+        let Some(jobs) = self.left_on.get(&r.machine) else {
+            return;
+        };
         let at = (r.session, r.seq);
+        let active = r.tasks.iter().filter(|t| t.state != TaskState::Exited);
+        let active: BTreeSet<&str> = active
+            .filter_map(|t| t.task.split_once('/').map(|(job, _)| job))
+            .collect();
         let mut gone = Vec::new();
-        for (job, known) in &mut self.known {
+        for job in jobs {
+            let Some(known) = self.known.get_mut(job) else {
+                continue;
+            };
             if unix_time < known.at.saturating_add(STARTS_ARRIVE_FOR.0) {
                 continue;
             }
             let Some(left) = known.machines.get_mut(&r.machine) else {
                 continue;
             };
-            let holds = r.tasks.iter().any(|t| {
-                t.state != TaskState::Exited
-                    && TaskId::parse(&t.task).is_some_and(|task| task.job == *job)
-            });
             *left = match *left {
                 Left::Gone => Left::Gone,
-                _ if holds => Left::Maybe,
+                _ if active.contains(job.0.as_str()) => Left::Maybe,
                 Left::Maybe => Left::Doubtful(at),
                 Left::Doubtful(before) if at > before => {
-                    gone.push((unix_time, job.clone(), r.machine.clone()));
+                    gone.push(job.clone());
                     Left::Gone
                 }
                 Left::Doubtful(before) => Left::Doubtful(before),
             };
         }
-        self.gone.extend(gone);
+        for job in gone {
+            let machine = r.machine.clone();
+            self.clear(Gone { job, machine }, unix_time);
+        }
     }
 
     /// Tasks of these jobs are gone from these machines.
-    pub fn note_gone(&mut self, gone: &[(JobId, MachineId)], unix_time: u64) {
-        for (job, machine) in gone {
+    pub fn note_gone(&mut self, found: &[Gone], unix_time: u64) {
+        for gone in found {
             let left = self
                 .known
-                .get_mut(job)
-                .and_then(|k| k.machines.get_mut(machine));
+                .get_mut(&gone.job)
+                .and_then(|k| k.machines.get_mut(&gone.machine));
             if let Some(left) = left.filter(|l| **l != Left::Gone) {
                 *left = Left::Gone;
-                self.gone
-                    .push_back((unix_time, job.clone(), machine.clone()));
+                self.clear(gone.clone(), unix_time);
             }
         }
     }
 
-    /// What was found gone since then.
-    pub fn gone_since(&self, from: u64) -> Vec<(JobId, MachineId)> {
-        let since = self.gone.iter().filter(|(at, _, _)| *at >= from);
-        let named = since.map(|(_, job, machine)| (job.clone(), machine.clone()));
-        named.take(MOST_NAMES).collect()
+    /// The place from which a reader gets what is found gone from now on.
+    pub fn gone_from_now(&self) -> Cursor {
+        self.gone.end()
+    }
+
+    /// What was found gone from a place on, as much as one message holds, and the place after it.
+    pub fn gone_since(&self, from: Cursor) -> (Vec<Gone>, Cursor) {
+        let (found, next) = self.gone.read(from, MOST_GONE);
+        (found.map(|(_, gone)| gone.clone()).collect(), next)
     }
 
     /// Machines on which tasks of jobs that were cancelled longer ago than this may be left.
-    pub fn overdue(&self, unix_time: u64, patience: Micros) -> Vec<(JobId, MachineId)> {
+    pub fn overdue(&self, unix_time: u64, patience: Micros) -> Vec<Gone> {
         let old = self
             .known
             .iter()
             .filter(|(_, k)| unix_time > k.at.saturating_add(patience.0));
         let left = old.flat_map(|(job, k)| {
             let left = k.machines.iter().filter(|(_, l)| **l != Left::Gone);
-            left.map(|(machine, _)| (job.clone(), machine.clone()))
+            left.map(|(machine, _)| Gone {
+                job: job.clone(),
+                machine: machine.clone(),
+            })
         });
         left.collect()
     }
@@ -213,11 +269,23 @@
     /// Forgets what is older than this.
     pub fn forget(&mut self, unix_time: u64, kept: Micros) {
         let old = |at: u64| unix_time > at.saturating_add(kept.0);
-        self.known.retain(|_, k| !old(k.at));
-        for told in self.told.values_mut() {
-            told.jobs.retain(|job| self.known.contains_key(job));
+        let known = self.known.iter().filter(|(_, k)| old(k.at));
+        let over: Vec<JobId> = known.map(|(job, _)| job.clone()).collect();
+        for job in over {
+            let machines = self.known.remove(&job).map(|k| k.machines);
+            for machine in machines.unwrap_or_default().into_keys() {
+                if let Entry::Occupied(mut jobs) = self.left_on.entry(machine) {
+                    jobs.get_mut().remove(&job);
+                    if jobs.get().is_empty() {
+                        jobs.remove();
+                    }
+                }
+            }
+            for told in self.told.values_mut() {
+                told.jobs.remove(&job);
+            }
         }
-        self.gone.retain(|(at, _, _)| !old(*at));
+        self.gone.drop_while(|(at, _)| old(*at));
     }
 }
 
@@ -316,14 +384,8 @@
             .cancellations
             .borrow()
             .overdue(unix_time, cancel.scaled(7, 10));
-        let left: Vec<(JobId, MachineId)> = {
-            let view = node.store.view.borrow();
-            let shown = |(job, machine): &(JobId, MachineId)| {
-                !view.loaded || view.machines_of(job).contains(machine)
-            };
-            overdue.into_iter().filter(shown).collect()
-        };
-        let machines: BTreeSet<MachineId> = left.iter().map(|(_, m)| m.clone()).collect();
+        let left = still_placed(&node.store.view.borrow(), overdue);
+        let machines: BTreeSet<MachineId> = left.iter().map(|l| l.machine.clone()).collect();
         let machines: Vec<MachineId> = machines.into_iter().collect();
         for part in machines.chunks(MAX_RETURN) {
             match node.cloud.give_back(part).await {
@@ -332,11 +394,9 @@
                         "event=machines_returned count={} why=cancelled_tasks_left_without_leader",
                         part.len()
                     );
-                    let gone: Vec<(JobId, MachineId)> = left
-                        .iter()
-                        .filter(|(_, m)| part.contains(m))
-                        .cloned()
-                        .collect();
+                    let returned: HashSet<&MachineId> = part.iter().collect();
+                    let left = left.iter().filter(|l| returned.contains(&l.machine));
+                    let gone: Vec<Gone> = left.cloned().collect();
                     node.cancellations.borrow_mut().note_gone(&gone, unix_time);
                 }
                 Err(e) => debug!("event=return_failed error={:?}", e.to_string()),
@@ -344,3 +404,21 @@
         }
     }
 }
+
+/// Those of these machines on which the view has tasks of the jobs, or all where there is no view.
+fn still_placed(view: &View, overdue: Vec<Gone>) -> Vec<Gone> {
+    if !view.loaded {
+        return overdue;
+    }
+    let mut placed: HashMap<JobId, HashSet<MachineId>> = HashMap::new();
+    let is_placed = |left: &Gone| {
+        let machines = placed
+            .entry(left.job.clone())
+            .or_insert_with(|| view.machines_of(&left.job).into_iter().collect());
+        machines.contains(&left.machine)
+    };
+    overdue.into_iter().filter(is_placed).collect()
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -1,5 +1,6 @@
 //! The cloud's client: machine types, machine list, rentals and returns.
 
+use crate::clock::sleep;
 use crate::http::{Client, HttpError};
 use crate::scheduler::{MachineId, MachineType};
 use crate::units::Micros;
@@ -11,6 +12,8 @@
 
 const CALL_WITHIN: Micros = Micros::secs(4);
 const PAGE: usize = 500;
+/// How often a page that was refused is asked for.
+const PAGE_TRIES: usize = 4;
 /// The most machines one rental may ask for.
 pub const MAX_RENT: usize = 50;
 /// The most machines one return may name.
@@ -108,13 +111,17 @@
 /// The cloud as one controller sees it.
 pub struct Cloud {
     client: Client,
+    /// Time between two pages of the machine list, so that listing a large fleet leaves half of the requests to rentals
+    /// and returns.
+    between_pages: Micros,
 }
 
 impl Cloud {
     /// A client without connections.
-    pub fn new(addr: SocketAddr) -> Cloud {
+    pub fn new(addr: SocketAddr, rps: f64) -> Cloud {
         Cloud {
             client: Client::new(addr),
+            between_pages: Micros::from_secs_f64(2.0 / rps),
         }
     }
 
@@ -152,20 +159,36 @@
         Ok(machine_types.machine_types)
     }
 
-    /// All machines, as the lagging list has them.
+    /// All machines, as the lagging list has them, read page by page.
+    ///
+    /// Guards against a fleet of many pages whose list is never read to its end: one request too many, and all pages read
+    /// so far would be read again.
     pub async fn list(&self) -> Result<Vec<Listed>, CloudError> {
         let mut all: Vec<Listed> = Vec::new();
         loop {
-            let path = match all.last() {
-                Some(last) => format!("/hosts?from={}&page={PAGE}", last.machine),
-                None => format!("/hosts?page={PAGE}"),
-            };
-            let page: Listing = self.call(Method::Get, &path, None).await?;
+            let page = self.page(all.last().map(|l| &l.machine)).await?;
             let end = !page.more || page.hosts.is_empty();
             all.extend(page.hosts);
             if end {
                 return Ok(all);
             }
+            sleep(self.between_pages).await;
+        }
+    }
+
+    /// A page of the machine list; one that is refused is asked for again.
+    async fn page(&self, from: Option<&MachineId>) -> Result<Listing, CloudError> {
+        let path = match from {
+            Some(last) => format!("/hosts?from={last}&page={PAGE}"),
+            None => format!("/hosts?page={PAGE}"),
+        };
+        let mut tries = PAGE_TRIES;
+        loop {
+            tries -= 1;
+            match self.call(Method::Get, &path, None).await {
+                Err(CloudError::Refused(_)) if tries > 0 => sleep(self.between_pages).await,
+                answer => return answer,
+            }
         }
     }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -18,6 +18,18 @@
     reason: String,
 }
 
+/// Sockets without which a controller can't serve: some for users and workers, the state service and the cloud.
+const LEAST_SOCKETS: usize = 16;
+/// Sockets that each other controller takes besides: its own connections to this one and this one's to it.
+const SOCKETS_PER_MEMBER: usize = 16;
+/// Idle connections that are always kept to another controller.
+const LEAST_KEPT_CONNECTIONS: usize = 8;
+
+/// Memory that an accepted job of a few tasks takes, in the cached view and at the leader.
+const JOB_KB: f64 = 4.0;
+/// So many jobs are accepted whatever the memory.
+const LEAST_ADMISSION_CAP: usize = 50;
+
 /// Another controller.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Member {
@@ -233,8 +245,12 @@
         if f.state.value_kb < 2.0 {
             return Err(("facts.state.value_kb", "must be at least 2"));
         }
-        if f.machine_limits.max_sockets < 16 {
-            return Err(("facts.machine_limits.max_sockets", "must be at least 16"));
+        let least_sockets = LEAST_SOCKETS + SOCKETS_PER_MEMBER * self.members.len();
+        if f.machine_limits.max_sockets < least_sockets {
+            return Err((
+                "facts.machine_limits.max_sockets",
+                "must be at least 16 and 16 more for each member",
+            ));
         }
         for team in &f.teams {
             if team.name.is_empty() {
@@ -256,6 +272,13 @@
         teams.map(|t| (t.name.clone(), share(t))).collect()
     }
 
+    /// Idle connections kept to each other controller: a sixteenth of the sockets for all of them together, as the reports
+    /// of thousands of workers wait for the leader side by side.
+    pub fn kept_connections(&self) -> usize {
+        let all = self.facts.machine_limits.max_sockets / 16;
+        (all / self.members.len().max(1)).max(LEAST_KEPT_CONNECTIONS)
+    }
+
     /// The interval of reports.
     pub fn report(&self) -> Micros {
         Micros::from_secs_f64(self.facts.workers.report_s)
@@ -347,10 +370,12 @@
         }
     }
 
-    /// Most jobs that are accepted and not over: a job of a few tasks takes some KB, so an eighth of the memory.
+    /// Most jobs that are accepted and not over: as many as a quarter of the memory holds.
     pub fn admission_cap(&self, platform: &Platform) -> usize {
-        let derived = platform.facts.machine_limits.ram_mb * 1024.0 / 8.0 / 6.0;
-        self.admission_cap.unwrap_or((derived as usize).max(50))
+        let for_jobs_kb = platform.facts.machine_limits.ram_mb * 1024.0 / 4.0;
+        let derived = (for_jobs_kb / JOB_KB) as usize;
+        self.admission_cap
+            .unwrap_or(derived.max(LEAST_ADMISSION_CAP))
     }
 
     /// Life of the leader's lease.
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -9,13 +9,12 @@
 use crate::leader::{self, Leading};
 use crate::net::{Listener, Stream};
 use crate::peer::{self, Frame, Knowledge, Peer, Request};
-use crate::scheduler::{Controller, End, Final, JobId, MachineId, Report, TeamShare};
-use crate::state::{Change, State, Urgency};
-use crate::store::{Store, contacts_key};
+use crate::scheduler::{Controller, End, Final, JobId, Report, TeamShare};
+use crate::state::State;
+use crate::store::Store;
 use crate::units::Micros;
 use crate::{users, workers};
 use async_executor::LocalExecutor;
-use event_listener::Event;
 use log::{debug, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -37,11 +36,15 @@
 /// A controller that did not answer for so long may be down.
 const LATELY: Micros = Micros::millis(2_200);
 
+/// The same trouble is told this often.
+const TELL_EVERY: Micros = Micros::secs(10);
+
 /// After a failed ping reports are not passed on to a controller for so long.
 const AVOID_FOR: Micros = Micros::secs(2);
 
-/// How long a worker takes for a controller that does not answer: four seconds, and one until it tries the next.
-const WORKER_TRY: Micros = Micros::secs(5);
+mod contacts;
+
+use contacts::{Contacts, publish_contacts};
 
 /// What another controller said last.
 #[derive(Debug, Clone, Default)]
@@ -52,16 +55,6 @@
     failed: bool,
 }
 
-/// More machines that were seen here than this, and those not seen lately are forgotten.
-const NEWCOMERS_KEPT: usize = 4_000;
-
-/// When a machine was last sent to another controller, and how often that was.
-#[derive(Debug, Clone, Copy)]
-struct Handed {
-    at: Micros,
-    times: usize,
-}
-
 /// A controller.
 pub struct Node {
     /// The platform's settings.
@@ -89,15 +82,16 @@
     token_seen: Cell<u64>,
     misses_told: Cell<Micros>,
     avoided: RefCell<BTreeMap<String, Micros>>,
-    contacts: RefCell<BTreeMap<MachineId, Micros>>,
-    handed: RefCell<BTreeMap<MachineId, Handed>>,
-    seen_here: RefCell<BTreeMap<MachineId, Micros>>,
-    heard_new: Event,
+    contacts: Contacts,
     /// Cancellations, also those that the view need not show yet.
     pub cancellations: RefCell<Cancellations>,
     /// When the cloud last answered a question for a cancellation.
     pub cloud_answered: Cell<Micros>,
     connections: Cell<usize>,
+    /// Whether it was told that sockets are short.
+    sockets_short: Cell<bool>,
+    /// When it was last told that submissions are refused.
+    told_of_admission: Cell<Micros>,
     /// When it last looked whether it stood still.
     pulse: Cell<Micros>,
 }
@@ -115,10 +109,12 @@
         ));
         // Watches may take about a sixth of a controller's share of the requests.
         let pause = Micros::from_secs_f64((6.0 * size / limits.rps).clamp(0.05, 0.25));
+        let lease = Micros::from_secs_f64(platform.facts.workers.lease_s);
+        let kept = platform.kept_connections();
         let peers = platform
             .members
             .iter()
-            .map(|m| Peer::new(m.node.clone(), m.address));
+            .map(|m| Peer::new(m.node.clone(), m.address, kept));
         Node {
             teams: platform.teams(),
             admission_cap: settings.admission_cap(&platform),
@@ -126,20 +122,19 @@
             clock,
             store: Store::new(state.clone(), clock, pause),
             state,
-            cloud: Cloud::new(platform.external.cloud),
+            cloud: Cloud::new(platform.external.cloud, platform.facts.cloud.rps),
             peers: peers.collect(),
             leading: RefCell::default(),
             words: RefCell::default(),
             token_seen: Cell::new(0),
             misses_told: Cell::new(Micros::ZERO),
             avoided: RefCell::default(),
-            contacts: RefCell::default(),
-            handed: RefCell::default(),
-            seen_here: RefCell::default(),
-            heard_new: Event::new(),
+            contacts: Contacts::new(platform.report(), lease),
             cancellations: RefCell::default(),
             cloud_answered: Cell::new(Micros::ZERO),
             connections: Cell::new(0),
+            sockets_short: Cell::new(false),
+            told_of_admission: Cell::new(Micros::ZERO),
             pulse: Cell::new(clock.now()),
             platform,
             settings,
@@ -231,24 +226,6 @@
         self.avoided.borrow_mut().insert(peer.to_owned(), until);
     }
 
-    /// A machine reported here, and its report can't be passed on.
-    pub fn note_contact(&self, machine: MachineId) {
-        self.contacts.borrow_mut().insert(machine, self.clock.now());
-        self.heard_new.notify(usize::MAX);
-    }
-
-    /// Whether a worker's report is the first here for a while; it is not the next time.
-    pub fn is_newcomer(&self, machine: &MachineId) -> bool {
-        let now = self.clock.now();
-        let lately = self.platform.report().scaled(2, 1);
-        let mut seen = self.seen_here.borrow_mut();
-        if seen.len() >= NEWCOMERS_KEPT {
-            seen.retain(|_, at| now.since(*at) < lately);
-        }
-        let before = seen.insert(machine.clone(), now);
-        before.is_none_or(|at| now.since(at) > lately)
-    }
-
     /// These jobs are cancelled, whether or not the view shows it yet.
     ///
     /// Guards against tasks that outlive their cancellation because the state service stopped answering right after it
@@ -298,78 +275,6 @@
         fastrand::choice(near).map(|m| m.node.clone())
     }
 
-    /// Where to send a worker whose report can't be passed on, if it may be sent away.
-    ///
-    /// Its lease must outlast a try of a controller that turns out to be silent for it too, after which it comes back
-    /// here: so it was answered here just now, it is sent only as many places before this one in the order of names as
-    /// its lease allows, and after that it is left in peace for a while.
-    pub fn hand_off(&self, machine: &MachineId, zone: &str) -> Option<String> {
-        let now = self.clock.now();
-        let answered = self.contacts.borrow().get(machine).copied()?;
-        if now.since(answered) > self.platform.report().scaled(3, 2) {
-            return None;
-        }
-        let lease = Micros::from_secs_f64(self.platform.facts.workers.lease_s);
-        let mut handed = self.handed.borrow_mut();
-        handed.retain(|_, h| now.since(h.at) < lease.scaled(10, 1));
-        let before = handed.get(machine).copied();
-        if before.is_some_and(|h| now.since(h.at) < lease.scaled(2, 1)) {
-            return None;
-        }
-        let times = before.map_or(0, |h| h.times);
-        let to = if self.is_alone() {
-            self.place_before(times, lease)?
-        } else {
-            self.leader_beyond_filter(zone)?
-        };
-        let now_handed = Handed {
-            at: now,
-            times: times + 1,
-        };
-        handed.insert(machine.clone(), now_handed);
-        Some(to)
-    }
-
-    /// A controller so few places before this one that a worker tries all between and is back within its lease.
-    fn place_before(&self, times: usize, lease: Micros) -> Option<String> {
-        let spent = self.platform.report().scaled(5, 4) + Micros::secs(2);
-        let tries = (lease.since(spent).0 / WORKER_TRY.0) as usize;
-        let mut names: Vec<&str> = self
-            .platform
-            .members
-            .iter()
-            .map(|m| m.node.as_str())
-            .collect();
-        names.push(&self.platform.node);
-        names.sort_unstable();
-        let own = names.iter().position(|n| *n == self.platform.node)?;
-        let most = tries.min(names.len() - 1);
-        if most == 0 {
-            return None;
-        }
-        let back = 1 + times % most;
-        Some(names[(own + names.len() - back) % names.len()].to_owned())
-    }
-
-    /// The leader, if it is known to lead, and it is a filter between the controllers and no cut of zones that keeps
-    /// reports from it: a worker of its zone reaches it, and where not even controllers of one zone reach each other,
-    /// any does.
-    fn leader_beyond_filter(&self, zone: &str) -> Option<String> {
-        if !self.store.reachable() {
-            return None;
-        }
-        let leader = self.store.view.borrow().leader.as_ref()?.value.node.clone();
-        let members = &self.platform.members;
-        let home = members.iter().find(|m| m.node == leader)?;
-        let mut neighbours = members
-            .iter()
-            .filter(|m| m.zone == self.platform.zone)
-            .peekable();
-        // One that ended proves nothing.
-        let filtered = neighbours.peek().is_some() && !neighbours.any(|m| self.answers(&m.node));
-        (home.zone == zone || filtered).then_some(leader)
-    }
-
     /// Whether another controller answered lately. One that lacks only the state service passes reports on as ever.
     fn answers(&self, node: &str) -> bool {
         let now = self.clock.now();
@@ -407,6 +312,38 @@
         self.platform.facts.machine_limits.max_sockets * 4 / 5
     }
 
+    /// Whether sockets are so short that workers' connections end with each answer as well, and open anew for the next
+    /// report.
+    ///
+    /// Guards against idle connections of some workers that keep out the others, where fewer sockets than workers are left:
+    /// each report is then answered in its turn, and no worker loses its lease.
+    pub fn is_full(&self) -> bool {
+        self.connections.get() > self.sockets_for_others() * 9 / 10
+    }
+
+    /// Tells that submissions are refused, as there are as many jobs as this controller takes; not for each of them.
+    pub fn tell_of_admission(&self, active: usize) {
+        let now = self.clock.now();
+        if now.since(self.told_of_admission.get()) >= TELL_EVERY {
+            self.told_of_admission.set(now);
+            warn!(
+                "event=admission_full active={active} cap={}",
+                self.admission_cap
+            );
+        }
+    }
+
+    /// Tells when sockets get short, and when they are not any more.
+    fn tell_of_sockets(&self) {
+        let connections = self.connections.get();
+        let most = self.sockets_for_others();
+        if self.is_full() && !self.sockets_short.replace(true) {
+            warn!("event=sockets_short connections={connections} most={most} answers=close");
+        } else if !self.is_crowded() && self.sockets_short.replace(false) {
+            info!("event=sockets_enough connections={connections} most={most}");
+        }
+    }
+
     /// Whether sockets are getting short, so that connections of users end with each answer and idle ones end soon.
     ///
     /// Guards against users' connections keeping out workers, as after a filter between controllers, when the leader may
@@ -481,6 +418,7 @@
         Box::pin(async move {
             loop {
                 n.look_for_standstill(n.clock.now());
+                n.tell_of_sockets();
                 sleep(PULSE_EVERY).await;
             }
         }),
@@ -547,10 +485,12 @@
 
 async fn route(node: Rc<Node>, call: Call) -> Reply {
     if call.path == "/checkin" {
-        workers::answer(&node, &call).await
+        let reply = workers::answer(&node, &call).await;
+        let close = reply.close || node.is_full();
+        Reply { close, ..reply }
     } else {
         let reply = users::answer(&node, &call).await;
-        // Users come back through the load balancer, workers would have to look for another controller.
+        // Users come back through the load balancer, so that they make room first.
         let close = reply.close || node.is_crowded();
         Reply { close, ..reply }
     }
@@ -601,10 +541,9 @@
 
 /// The duty that asks another controller what it knows.
 async fn ping(node: &Node, peer: &Peer) {
-    let mut told_until = node.clock.unix_time();
+    let mut told_until = node.cancellations.borrow().gone_from_now();
     loop {
-        let unix_time = node.clock.unix_time();
-        let (cancelled, gone) = {
+        let (cancelled, (gone, told_next)) = {
             let cancellations = node.cancellations.borrow();
             let gone = cancellations.gone_since(told_until);
             (cancellations.untold(&peer.node), gone)
@@ -615,7 +554,7 @@
         };
         match peer.call(node.known(), ping, PING_WITHIN).await {
             Ok(frame) => {
-                told_until = unix_time;
+                told_until = told_next;
                 let incarnation = frame.known.incarnation;
                 let mut cancellations = node.cancellations.borrow_mut();
                 cancellations.was_told(&peer.node, incarnation, &cancelled);
@@ -641,40 +580,5 @@
     }
 }
 
-/// The duty that tells the leader, by the state service, of machines whose reports can't be passed on.
-///
-/// Guards against a cut zone being taken for dead machines.
-async fn publish_contacts(node: &Node) {
-    let every = node.platform.report();
-    loop {
-        node.heard_new.listen().await;
-        // The first report that can't be passed on is told at once, with those that come in the next moment.
-        sleep(Micros::millis(200)).await;
-        let now = node.clock.now();
-        let machines: Vec<MachineId> = {
-            let mut heard = node.contacts.borrow_mut();
-            heard.retain(|_, at| now.since(*at) < every.scaled(3, 2));
-            heard.keys().cloned().collect()
-        };
-        let led = node.store.view.borrow().leader.is_some();
-        if machines.is_empty() || !led || node.leading().is_some() {
-            continue;
-        }
-        // A name takes some ten bytes; a value holds so many of them.
-        let most = (node.platform.facts.state.value_kb * 1024.0 / 32.0) as usize;
-        for (part, some) in machines.chunks(most.max(1)).enumerate() {
-            let put = Change::Put {
-                key: contacts_key(&node.platform.node, part),
-                value: serde_json::json!(some),
-                lease: None,
-            };
-            if let Err(e) = node.state.txn(Urgency::Paced, &[], &[put]).await {
-                debug!("event=heard_not_told error={:?}", e.to_string());
-            }
-        }
-        sleep(every.scaled(1, 3)).await;
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::scheduler::MachineId;
 use http_types::Method;
 
 /// The second of five controllers in zones a, b, a, b, c.
@@ -188,7 +189,15 @@
     };
     let closes = |call| async_io::block_on(route(node.clone(), call)).close;
     assert!(!closes(call(Method::Get, "/ready")));
+    // First users make room, who come back through the load balancer.
+    node.connections.set(node.sockets_for_others() * 3 / 4 + 1);
+    assert!(closes(call(Method::Get, "/ready")));
+    assert!(!closes(call(Method::Post, "/checkin")));
+    // Where there are fewer sockets than workers, workers take turns as well: each report comes on a connection of its own.
     node.connections.set(node.sockets_for_others());
     assert!(closes(call(Method::Get, "/ready")));
+    assert!(closes(call(Method::Post, "/checkin")));
+    node.connections.set(node.sockets_for_others() / 2);
+    assert!(!closes(call(Method::Get, "/ready")));
     assert!(!closes(call(Method::Post, "/checkin")));
 }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -17,7 +17,7 @@
 use log::{debug, info};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use batches::write_batch;
 use rentals::{finish_rentals, rent};
@@ -270,10 +270,12 @@
 async fn listing(node: &Node, leading: &Leading) -> &'static str {
     let every = Micros::from_secs_f64((4.0 / node.platform.facts.cloud.rps).max(2.0));
     loop {
+        // What came or went while the pages were read may stand in none or in an old one of them.
+        let asked_at = node.clock.now();
         match node.cloud.list().await {
             Ok(list) => {
-                let now = node.clock.now();
-                leading.scheduler.borrow_mut().on_list(&list, now);
+                let mut scheduler = leading.scheduler.borrow_mut();
+                scheduler.on_list(&list, asked_at);
             }
             Err(e) => debug!("event=list_failed error={:?}", e.to_string()),
         }
@@ -329,9 +331,10 @@
                 info!("event=machines_returned count={}", part.len());
                 let now = node.clock.now();
                 leading.scheduler.borrow_mut().returned(part, now);
+                let gone: HashSet<&MachineId> = part.iter().collect();
                 for record in leading.rentals.borrow_mut().values_mut() {
                     if let Some(machines) = &mut record.machines {
-                        machines.retain(|m| !part.contains(m));
+                        machines.retain(|m| !gone.contains(m));
                     }
                 }
                 leading.work.notify(usize::MAX);
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,10 +1,10 @@
 //! Controllers among themselves: `bitcode` frames over TCP, one request and one reply at a time on a connection.
 
-use crate::cancellations::Cancellation;
+use crate::cancellations::{Cancellation, Gone};
 use crate::clock::Clock;
 use crate::http::within;
 use crate::net::Stream;
-use crate::scheduler::{JobId, MachineId, Order, Report};
+use crate::scheduler::{MAX_TASKS, Order, Report};
 use crate::units::Micros;
 use bitcode::{Decode, Encode};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
@@ -14,15 +14,15 @@
 use std::net::SocketAddr;
 use thiserror::Error;
 
-/// The largest frame; a report of 64 KiB stays well below.
-const MAX_FRAME: usize = 256 * 1024;
+/// Bytes that a machine's name takes in a frame, with room to spare.
+const NAME_BYTES: usize = 32;
+/// The largest frame: the cancellation of a job of as many tasks as the protocol allows, each on a machine of its own. A
+/// report of 64 KiB stays well below.
+const MAX_FRAME: usize = MAX_TASKS as usize * NAME_BYTES + 512 * 1024;
 /// How long an idle connection is kept open by the side that answers.
 const IDLE_WITHIN: Micros = Micros::secs(60);
 /// How long the side that asks keeps one: well below the other's, so that it does not write into one that ends.
 const KEPT_WITHIN: Micros = Micros::secs(20);
-/// Idle connections that are kept to each controller.
-const MAX_IDLE: usize = 8;
-
 /// What a controller knows of who leads; every frame carries it.
 #[derive(Debug, Clone, Default, PartialEq, Encode, Decode)]
 pub struct Knowledge {
@@ -48,7 +48,7 @@
         /// Those that the other was not told of yet.
         cancelled: Vec<Cancellation>,
         /// Cancelled jobs of which nothing is left on these machines.
-        gone: Vec<(JobId, MachineId)>,
+        gone: Vec<Gone>,
     },
     /// A worker's report, to be answered by the leader.
     Report {
@@ -104,8 +104,12 @@
     if length > MAX_FRAME {
         return Err(io::Error::new(io::ErrorKind::InvalidData, "frame too long"));
     }
-    let mut bytes = vec![0; length];
-    stream.read_exact(&mut bytes).await?;
+    // Room is taken as bytes come, not as they are announced.
+    let mut bytes = Vec::new();
+    let mut body = stream.take(length as u64);
+    if body.read_to_end(&mut bytes).await? < length {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
     bitcode::decode(&bytes).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e.to_string()))
 }
 
@@ -124,15 +128,18 @@
     addr: SocketAddr,
     /// Idle connections and since when, the longest idle first.
     idle: RefCell<Vec<(Micros, Stream)>>,
+    /// Idle connections that are kept at the most.
+    most_idle: usize,
 }
 
 impl Peer {
     /// One without connections.
-    pub fn new(node: String, addr: SocketAddr) -> Peer {
+    pub fn new(node: String, addr: SocketAddr, most_idle: usize) -> Peer {
         Peer {
             node,
             addr,
             idle: RefCell::default(),
+            most_idle,
         }
     }
 
@@ -180,7 +187,7 @@
         write_frame(&mut stream, frame).await?;
         let reply = read_frame(&mut stream).await?;
         let mut idle = self.idle.borrow_mut();
-        if idle.len() < MAX_IDLE {
+        if idle.len() < self.most_idle {
             idle.push((Clock.now(), stream));
         }
         Ok(reply)
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -1,5 +1,7 @@
 use super::*;
+use crate::cancellations::Gone;
 use crate::net::Listener;
+use crate::scheduler::{JobId, MachineId};
 use futures_lite::future;
 
 // Guards against what cost two hundred live machines on a quiet day: the other side had closed a connection that
@@ -10,7 +12,7 @@
         let listener = Listener::bind("127.0.0.1:0".parse().unwrap())
             .await
             .unwrap();
-        let peer = Peer::new("n-1".into(), listener.local_addr().unwrap());
+        let peer = Peer::new("n-1".into(), listener.local_addr().unwrap(), 8);
         let server = async {
             for _ in 0..2 {
                 let mut stream = listener.accept().await.unwrap();
@@ -37,3 +39,46 @@
         future::zip(server, asking).await;
     });
 }
+
+// Guards against a rolling upgrade in which controllers do not understand each other's pings: the landing before this one
+// sent pairs.
+#[test]
+fn what_is_gone_is_encoded_as_the_version_before_did() {
+    let names = [
+        ("j-1", "m-000001"),
+        ("j-000412", "m-000231"),
+        ("j-1", "m-2"),
+    ];
+    let pairs: Vec<(JobId, MachineId)> = names
+        .iter()
+        .map(|(job, machine)| (JobId((*job).into()), MachineId((*machine).into())))
+        .collect();
+    let found: Vec<Gone> = pairs
+        .iter()
+        .map(|(job, machine)| Gone {
+            job: job.clone(),
+            machine: machine.clone(),
+        })
+        .collect();
+    assert_eq!(bitcode::encode(&pairs), bitcode::encode(&found));
+}
+
+// Guards against a cancellation that no controller can be told, as its machines are too many for a frame.
+#[test]
+fn the_cancellation_of_the_largest_job_fits_into_a_frame() {
+    let machines = (0..MAX_TASKS).map(|n| MachineId(format!("m-{n:06}-of-a-long-name")));
+    let cancelled = Cancellation {
+        job: JobId("j-000412".into()),
+        at: u64::MAX,
+        machines: machines.collect(),
+    };
+    let ping = Frame {
+        known: Knowledge::default(),
+        message: Request::Ping {
+            cancelled: vec![cancelled],
+            gone: Vec::new(),
+        },
+    };
+    let bytes = bitcode::encode(&ping).len();
+    assert!(bytes < MAX_FRAME, "{bytes} bytes");
+}
--- a/src/scheduler/fair.rs
+++ b/src/scheduler/fair.rs
@@ -18,6 +18,8 @@
 /// Of so many machines one may be kept for a job.
 const MACHINES_PER_KEPT: usize = 50;
 
+/// How often it is looked for whom to keep what: rounds may come far more often than a job's turn.
+const LOOK_EVERY: Micros = Micros::millis(200);
 /// About so many jobs, and the first ones always, look for a machine to be kept in one round.
 const SEARCHES: usize = 32;
 
@@ -28,11 +30,16 @@
     machines: BTreeMap<MachineId, JobId>,
     /// Teams whose later jobs are held back for one that waits for room within the limit.
     teams: BTreeMap<String, JobId>,
+    /// When this was last looked at.
+    looked_at: Micros,
 }
 
 impl Scheduler {
     /// Looks anew at what is kept, and for whom.
     pub(super) fn keep_for_long_waiting(&mut self, now: Micros) {
+        if now.since(self.fair.looked_at) < LOOK_EVERY {
+            return;
+        }
         let waits = |j: &Job| {
             let since = j.stuck_since?;
             (j.waiting() > 0 && now.since(since) >= LONG).then(|| now.since(since))
@@ -43,7 +50,10 @@
             .filter_map(|j| Some((j, waits(j)?)))
             .collect();
         if long.is_empty() {
-            self.fair = Fair::default();
+            self.fair = Fair {
+                looked_at: now,
+                ..Fair::default()
+            };
             return;
         }
         long.sort_by_key(|(j, _)| (Reverse(j.spec.priority), j.turn(self.unix_time)));
@@ -60,6 +70,7 @@
             }
         }
         self.fair.teams = teams;
+        self.fair.looked_at = now;
         self.fair.machines = self.machines_for(wanting);
     }
 
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -201,8 +201,9 @@
         }
     }
 
-    /// Takes in the machine list, which lags.
-    pub fn on_list(&mut self, list: &[Listed], now: Micros) {
+    /// Takes in the machine list, which lags, and of which the first page was asked for at this time.
+    pub fn on_list(&mut self, list: &[Listed], asked_at: Micros) {
+        let now = asked_at;
         let lag = self.config.list_lag;
         self.fleet.listed = true;
         let mut listed = HashSet::new();
--- a/src/scheduler/job_index.rs
+++ b/src/scheduler/job_index.rs
@@ -5,12 +5,15 @@
 
 use super::ids::{JobId, TaskId};
 use super::job::Job;
+use crate::units::Micros;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Jobs with waiting tasks, jobs for which room is being made, and tasks that are being stopped.
 #[derive(Debug, Default)]
 pub(super) struct JobIndex {
     waiting: BTreeSet<JobId>,
+    /// Jobs with waiting tasks at their next try, or earlier.
+    tries: BTreeSet<(Micros, JobId)>,
     claimants: BTreeSet<JobId>,
     stopping: BTreeSet<TaskId>,
 }
@@ -22,9 +25,40 @@
             self.waiting.remove(&job.spec.id);
         } else if !self.waiting.contains(&job.spec.id) {
             self.waiting.insert(job.spec.id.clone());
+            self.schedule(job);
         }
     }
 
+    /// The next try of a job with waiting tasks may be sooner than before.
+    pub(super) fn schedule(&mut self, job: &Job) {
+        self.tries.insert((job.next_try, job.spec.id.clone()));
+    }
+
+    /// The jobs to be offered now, which must be scheduled anew once they were; and how many entries were looked at.
+    pub(super) fn due(
+        &mut self,
+        jobs: &BTreeMap<JobId, Job>,
+        now: Micros,
+    ) -> (BTreeSet<JobId>, usize) {
+        let mut due = BTreeSet::new();
+        let mut steps = 0;
+        while let Some((at, _)) = self.tries.first()
+            && *at <= now
+            && let Some((_, id)) = self.tries.pop_first()
+        {
+            steps += 1;
+            let Some(job) = jobs.get(&id).filter(|j| j.waiting() > 0) else {
+                continue;
+            };
+            if job.next_try > now {
+                self.schedule(job);
+            } else if job.open() > 0 {
+                due.insert(id);
+            }
+        }
+        (due, steps)
+    }
+
     /// A job is gone.
     pub(super) fn forget(&mut self, id: &JobId) {
         self.waiting.remove(id);
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -374,11 +374,18 @@
 
     /// Makes the jobs due for which room was made on a machine, so that no other takes it first.
     fn wake_claimants(&mut self, machine: &MachineId) {
+        let mut woken = Vec::new();
         for id in self.job_index.claimants() {
             if let Some(job) = self.jobs.get_mut(id)
                 && job.claims.iter().any(|(m, _)| m == machine)
             {
                 job.next_try = Micros::ZERO;
+                woken.push(id.clone());
+            }
+        }
+        for id in woken {
+            if let Some(job) = self.jobs.get(&id) {
+                self.job_index.schedule(job);
             }
         }
     }
@@ -428,6 +435,7 @@
     pub(super) fn requeue(&mut self, id: &JobId, now: Micros) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.next_try = job.next_try.min(now);
+            self.job_index.schedule(job);
         }
     }
 
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -14,6 +14,8 @@
 /// Tasks of one job placed in one round, so that one huge job can't take the whole round; or one for each machine, where
 /// they are more.
 const TASKS_PER_JOB: usize = 512;
+/// Of a round's offers each job may count on so many; where more jobs wait, they are offered less often.
+const OFFERS_PER_JOB: usize = 16;
 /// A sample holds at least so many machines.
 const LEAST_SAMPLE: usize = 8;
 
@@ -183,17 +185,25 @@
     }
 
     /// Sets the next try of a job with waiting tasks.
+    ///
+    /// Guards against a backlog of thousands of jobs whose offers take all of the processor's share: where more wait than
+    /// may be offered in an interval, those below critical wait for as many intervals as it takes.
     fn delay(&mut self, id: &JobId, now: Micros) {
         let jitter = self.rng.u64(0..=self.config.jitter.0);
+        let jobs_per_retry = (self.config.offers_per_round / OFFERS_PER_JOB).max(1);
+        let intervals = 1 + self.job_index.waiting_count() / jobs_per_retry;
         if let Some(job) = self.jobs.get_mut(id)
             && job.waiting() > 0
         {
             let pause = if job.at_fault {
                 job.pause()
-            } else {
+            } else if job.spec.priority == Priority::Critical {
                 self.config.retry
+            } else {
+                self.config.retry.scaled(intervals as u64, 1)
             };
             job.next_try = now + pause + Micros(jitter);
+            self.job_index.schedule(job);
         }
     }
 
@@ -295,23 +305,20 @@
     /// Guards against urgent work that another team lends room to, in front of what that team is guaranteed: the two
     /// would stop each other's tasks for ever.
     pub(super) fn sort_by_turn(&self, jobs: &mut [&Job]) {
-        let place = |j: &Job| {
+        jobs.sort_by_cached_key(|j| {
             let waits = j.spec.priority < Priority::Critical;
             let borrows = !self.guarantees.covers(j);
             let priority = Reverse(j.spec.priority);
-            (waits, borrows, priority, j.turn(self.unix_time))
-        };
-        jobs.sort_by(|a, b| (place(a), &a.spec.id).cmp(&(place(b), &b.spec.id)));
+            let turn = j.turn(self.unix_time);
+            (waits, borrows, priority, turn, j.spec.id.clone())
+        });
     }
 
     /// Jobs to offer now.
-    fn due_jobs(&self, now: Micros) -> BTreeSet<JobId> {
-        self.count_steps(self.job_index.waiting_count());
-        let due = |id: &&JobId| {
-            let job = self.jobs.get(*id);
-            job.is_some_and(|j| j.next_try <= now && j.open() > 0)
-        };
-        self.job_index.waiting().filter(due).cloned().collect()
+    fn due_jobs(&mut self, now: Micros) -> BTreeSet<JobId> {
+        let (due, steps) = self.job_index.due(&self.jobs, now);
+        self.count_steps(steps);
+        due
     }
 
     /// Machines that take offers and have room for the smallest of these jobs' tasks, in id order: the others need not
--- a/src/store.rs
+++ b/src/store.rs
@@ -134,6 +134,8 @@
     pub jobs: BTreeMap<JobId, Versioned<JobRecord>>,
     /// Jobs that are over.
     pub ends: HashMap<JobId, End>,
+    /// How many of the accepted jobs are over, their records waiting for their removal.
+    over: usize,
     /// Chunks of jobs.
     pub runs: BTreeMap<JobId, BTreeMap<u32, Versioned<ChunkRecord>>>,
     /// Images that machines have.
@@ -177,12 +179,18 @@
         if let Some(id) = rest.strip_prefix("job/") {
             let id = JobId::parse(id).ok_or("bad job id")?;
             let value = parse(value)?;
-            self.jobs.insert(id.clone(), Versioned { value, version });
+            let before = self.jobs.insert(id.clone(), Versioned { value, version });
+            if before.is_none() && self.ends.contains_key(&id) {
+                self.over += 1;
+            }
             return Ok(Some(ViewChange::Job(id)));
         }
         if let Some(id) = rest.strip_prefix("end/") {
             let id = JobId::parse(id).ok_or("bad job id")?;
-            self.ends.insert(id.clone(), parse(value)?);
+            let before = self.ends.insert(id.clone(), parse(value)?);
+            if before.is_none() && self.jobs.contains_key(&id) {
+                self.over += 1;
+            }
             return Ok(Some(ViewChange::End(id)));
         }
         if let Some(run) = rest.strip_prefix("run/") {
@@ -231,6 +239,9 @@
         if let Some(id) = rest.strip_prefix("job/").and_then(JobId::parse) {
             if self.jobs.get(&id).is_some_and(|j| j.version <= version) {
                 self.jobs.remove(&id);
+                if self.ends.contains_key(&id) {
+                    self.over -= 1;
+                }
             }
         } else if let Some((id, chunk)) = rest.strip_prefix("run/").and_then(split_run) {
             if let Some(chunks) = self.runs.get_mut(&id) {
@@ -257,8 +268,7 @@
 
     /// Jobs that are not over; the records of others may wait for their removal.
     pub fn active_jobs(&self) -> usize {
-        let jobs = self.jobs.keys();
-        jobs.filter(|id| !self.ends.contains_key(*id)).count()
+        self.jobs.len() - self.over
     }
 
     /// The machines on which tasks of a job are placed.
--- a/src/users.rs
+++ b/src/users.rs
@@ -68,6 +68,7 @@
             return Reply::error(422, reason);
         }
         if view.jobs.len() >= node.admission_cap && view.active_jobs() >= node.admission_cap {
+            node.tell_of_admission(view.active_jobs());
             return Reply::later(429, "too many jobs", WHEN_FULL);
         }
     }
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -2,7 +2,7 @@
 //! virtual time, with a invariant checker that holds every step against the protocol's rules.
 
 use super::invariants::{InvariantChecker, Place};
-use super::keys::Keys;
+use super::keys::{Keys, query_field};
 use super::sim::{Entrance, HostId, Sim, within};
 use event_listener::Event;
 use http_types::Method;
@@ -636,7 +636,7 @@
                 self.keys_changed.notify(usize::MAX);
                 reply
             }
-            (Method::Get, ["keys"]) => self.keys.borrow().list(),
+            (Method::Get, ["keys"]) => self.keys.borrow().list(&call.query),
             (Method::Get, ["watch"]) => self.watch(from, &call).await,
             (Method::Get, _) => self
                 .keys
@@ -648,8 +648,7 @@
 
     /// Answers once there is something new, or after three seconds; in trouble it waits for the trouble's end.
     async fn watch(&self, from: HostId, call: &Call) -> Reply {
-        let mut fields = call.query.split('&');
-        let since = fields.find_map(|f| f.strip_prefix("from="));
+        let since = query_field(&call.query, "from");
         let since: u64 = since.and_then(|v| v.parse().ok()).unwrap_or(0);
         let until = self.sim.now() + 3_000_000;
         loop {
@@ -657,8 +656,7 @@
             self.end_leases();
             if !self.refuses(from) {
                 let keys = self.keys.borrow();
-                let news = keys.news.iter().filter(|(epoch, _)| *epoch > since);
-                let news: Vec<&Value> = news.map(|(_, n)| n).collect();
+                let news: Vec<&Value> = keys.news_since(since).collect();
                 if !news.is_empty() || self.sim.now() >= until {
                     return Reply::json(200, &json!({"epoch": keys.epoch, "news": news}));
                 }
