--- a/crates/index/src/lib.rs
+++ b/crates/index/src/lib.rs
@@ -5,10 +5,12 @@
 
 #![warn(missing_docs)]
 
+mod by_kind;
 mod cursor_log;
 mod expiring_map;
 mod first_fit;
 
+pub use by_kind::FirstFitByKind;
 pub use cursor_log::{Cursor, CursorLog};
 pub use expiring_map::ExpiringMap;
 pub use first_fit::FirstFit;
--- a/crates/index/tests/index.rs
+++ b/crates/index/tests/index.rs
@@ -1,6 +1,6 @@
 //! Each structure against a plain one that does the same the slow way, and bounds on the work.
 
-use ravenhead_index::{Cursor, CursorLog, ExpiringMap, FirstFit};
+use ravenhead_index::{Cursor, CursorLog, ExpiringMap, FirstFit, FirstFitByKind};
 
 fn slow_first(slots: &[[i64; 3]], from: usize, need: &[i64; 3]) -> Option<usize> {
     (from..slots.len()).find(|i| slots[*i].iter().zip(need).all(|(has, n)| has >= n))
@@ -109,3 +109,36 @@
         "what was dropped is skipped"
     );
 }
+
+// Guards against a search that looks at every slot, as full ones of the kind stand beside free ones of the other.
+#[test]
+fn a_kind_is_searched_without_looking_at_the_other() {
+    type Index = FirstFitByKind<1, 2>;
+    let slots = 4_096;
+    // Kind 0 has all slots, kind 1 every second one.
+    let mut free = vec![4; slots];
+    let amounts = |free: &[i64], slot: usize, kind: usize| {
+        if kind == 0 || slot % 2 == 1 {
+            [free[slot]]
+        } else {
+            Index::NOTHING
+        }
+    };
+    let mut index = Index::new(slots);
+    for n in 0..slots / 2 {
+        let found = index.first_from(1, 0, &[4], |slot| amounts(&free, slot, 1));
+        assert_eq!(found, Some(2 * n + 1));
+        free[2 * n + 1] = 0;
+        index.set(2 * n + 1, |kind| amounts(&free, 2 * n + 1, kind));
+    }
+    assert_eq!(index.first_from(1, 0, &[4], |_| [0]), None);
+    assert!(index.visited() < 40 * slots as u64, "{}", index.visited());
+    assert_eq!(
+        index.first_from(0, 1, &[4], |slot| amounts(&free, slot, 0)),
+        Some(2)
+    );
+    free.push(9);
+    index.push(|kind| amounts(&free, slots, kind));
+    assert_eq!(index.first_from(0, 0, &[5], |_| [0]), Some(slots));
+    assert_eq!(index.first_from(1, 0, &[5], |_| [0]), None);
+}
--- a/src/scheduler/candidates.rs
+++ b/src/scheduler/candidates.rs
@@ -4,11 +4,45 @@
 use super::machine::{MOST_TASKS, Machine};
 use super::offers::Pass;
 use crate::units::Room;
-use ravenhead_index::FirstFit;
+use ravenhead_index::FirstFitByKind;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-/// What the index knows of a candidate: its free room, and as flags what passes ask for.
-type Amounts = [i64; 5];
+/// What an index knows of a candidate: its free processors, accelerators and memory.
+type Amounts = [i64; 3];
+type Index = FirstFitByKind<3, KINDS>;
+
+/// Which candidates a search asks for; each kind has an index of its own.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Kind {
+    Any,
+    Spot,
+    WithFreeCard,
+    SpotWithFreeCard,
+    UsesCards,
+}
+
+const KINDS: usize = 5;
+
+impl Kind {
+    const ALL: [Kind; KINDS] = [
+        Kind::Any,
+        Kind::Spot,
+        Kind::WithFreeCard,
+        Kind::SpotWithFreeCard,
+        Kind::UsesCards,
+    ];
+
+    /// The kind that a pass asks for, for a task of this size.
+    fn of(need: &Room, pass: &Pass) -> Kind {
+        match (pass.beside_cards, need.cards > 0, pass.spot == Some(true)) {
+            (true, _, _) => Kind::UsesCards,
+            (false, false, false) => Kind::Any,
+            (false, false, true) => Kind::Spot,
+            (false, true, false) => Kind::WithFreeCard,
+            (false, true, true) => Kind::SpotWithFreeCard,
+        }
+    }
+}
 
 /// A machine as a round sees it.
 #[derive(Debug, Clone)]
@@ -50,39 +84,67 @@
         (self.free - kept).holds(need)
     }
 
-    /// A candidate holds no task for which the index says that it has too little.
-    fn amounts(&self) -> Amounts {
-        if self.tasks >= MOST_TASKS {
-            return [i64::MIN; 5];
+    /// What an index of a kind knows of it: it holds no task for which that says that it has too little.
+    fn amounts(&self, kind: Kind) -> Amounts {
+        let is_of_kind = match kind {
+            Kind::Any => true,
+            Kind::Spot => self.spot,
+            Kind::WithFreeCard => self.free.cards > 0,
+            Kind::SpotWithFreeCard => self.spot && self.free.cards > 0,
+            Kind::UsesCards => self.uses_cards(),
+        };
+        if !is_of_kind || self.tasks >= MOST_TASKS {
+            return Index::NOTHING;
         }
-        [
-            self.free.cores,
-            self.free.cards,
-            self.free.ram,
-            i64::from(self.spot),
-            i64::from(self.uses_cards()),
-        ]
+        let Room { cores, cards, ram } = self.free;
+        [cores, cards, ram]
     }
 }
 
-/// The least amounts of a candidate that may take a task in a pass.
-fn least_amounts(need: &Room, pass: &Pass) -> Amounts {
-    let spot = pass.spot == Some(true);
-    [
-        need.cores,
-        need.cards,
-        need.ram,
-        i64::from(spot),
-        i64::from(pass.beside_cards),
-    ]
-}
-
 /// The candidates of a round, in id order.
 pub(super) struct Candidates {
     machines: Vec<Candidate>,
-    index: FirstFit<5>,
-    /// Candidates by an image that they have or get, for images that were asked for in this round.
-    with_image: HashMap<String, Vec<usize>>,
+    index: Index,
+    /// The candidates that have an image or get it, for images that were asked for in this round.
+    by_image: HashMap<String, ImageIndex>,
+}
+
+/// The free room of those candidates that have an image.
+///
+/// Guards against looking, for each job, at every machine that has its image, most of which are full by then.
+struct ImageIndex {
+    has_image: Vec<bool>,
+    index: Index,
+}
+
+impl ImageIndex {
+    fn amounts(has_image: &[bool], machines: &[Candidate], i: usize, kind: Kind) -> Amounts {
+        if has_image[i] {
+            machines[i].amounts(kind)
+        } else {
+            Index::NOTHING
+        }
+    }
+
+    fn note_room(&mut self, machines: &[Candidate], i: usize) {
+        let has_image = &self.has_image;
+        self.index.set(i, |kind| {
+            ImageIndex::amounts(has_image, machines, i, Kind::ALL[kind])
+        });
+    }
+
+    fn first_from(
+        &mut self,
+        machines: &[Candidate],
+        kind: Kind,
+        from: usize,
+        need: &Amounts,
+    ) -> Option<usize> {
+        let has_image = &self.has_image;
+        self.index.first_from(kind as usize, from, need, |i| {
+            ImageIndex::amounts(has_image, machines, i, kind)
+        })
+    }
 }
 
 /// Which candidates one job is offered to in a round.
@@ -92,6 +154,13 @@
     All,
     /// These, in id order.
     Some(Vec<usize>),
+    /// Those that have an image, and these.
+    WithImage {
+        /// The image.
+        image: String,
+        /// Those that were cleared for the job.
+        cleared: Vec<usize>,
+    },
 }
 
 impl Candidates {
@@ -102,12 +171,18 @@
             .filter(|(_, m)| m.takes_offers() && m.free().holds(smallest));
         let machines: Vec<Candidate> = with_room.map(|(id, m)| Candidate::new(id, m)).collect();
         Candidates {
-            index: FirstFit::new(machines.iter().map(Candidate::amounts)),
+            index: Index::new(machines.len()),
             machines,
-            with_image: HashMap::new(),
+            by_image: HashMap::new(),
         }
     }
 
+    /// How many steps searches for room took.
+    pub(super) fn steps(&self) -> usize {
+        let of_images = self.by_image.values().map(|image| image.index.visited());
+        (self.index.visited() + of_images.sum::<u64>()) as usize
+    }
+
     pub(super) fn len(&self) -> usize {
         self.machines.len()
     }
@@ -130,82 +205,117 @@
     /// Room of a candidate is spoken for.
     pub(super) fn take(&mut self, i: usize, need: &Room) {
         self.machines[i].free -= *need;
-        self.index.set(i, self.machines[i].amounts());
+        self.note_room(i);
     }
 
     /// Room of a candidate, which a placement had taken, is free again.
     pub(super) fn take_back(&mut self, i: usize, need: &Room) {
         self.machines[i].free += *need;
         self.machines[i].tasks -= 1;
-        self.index.set(i, self.machines[i].amounts());
+        self.note_room(i);
+    }
+
+    fn note_room(&mut self, i: usize) {
+        let candidate = &self.machines[i];
+        self.index.set(i, |kind| candidate.amounts(Kind::ALL[kind]));
+        for image in self.by_image.values_mut() {
+            if image.has_image[i] {
+                image.note_room(&self.machines, i);
+            }
+        }
     }
 
     /// A candidate gets an image.
     pub(super) fn note_image(&mut self, i: usize, image: &str) {
-        if let Some(known) = self.with_image.get_mut(image)
-            && let Err(place) = known.binary_search(&i)
-        {
-            known.insert(place, i);
+        if let Some(known) = self.by_image.get_mut(image) {
+            known.has_image[i] = true;
+            known.note_room(&self.machines, i);
         }
     }
 
-    /// The candidates that have an image, in id order. They are looked up once a round for each image.
-    pub(super) fn with_image(
-        &mut self,
-        image: &str,
-        machines: &BTreeMap<MachineId, Machine>,
-    ) -> Vec<usize> {
-        if let Some(known) = self.with_image.get(image) {
-            return known.clone();
+    /// Looks up who has an image, once a round.
+    pub(super) fn look_up_image(&mut self, image: &str, machines: &BTreeMap<MachineId, Machine>) {
+        if self.by_image.contains_key(image) {
+            return;
         }
         let has_image = |c: &Candidate| machines.get(&c.id).is_some_and(|m| m.has_image(image));
-        let all = self.machines.iter().enumerate();
-        let found: Vec<usize> = all.filter(|(_, c)| has_image(c)).map(|(i, _)| i).collect();
-        self.with_image.insert(image.to_owned(), found.clone());
-        found
+        let known = ImageIndex {
+            has_image: self.machines.iter().map(has_image).collect(),
+            index: Index::new(self.machines.len()),
+        };
+        self.by_image.insert(image.to_owned(), known);
+    }
+
+    /// The machines of an order that have an image, or were cleared.
+    pub(super) fn with_image(&self, order: &Order, image: &str, cleared: Vec<usize>) -> Order {
+        let Order::Some(some) = order else {
+            let image = image.to_owned();
+            return Order::WithImage { image, cleared };
+        };
+        let known = self.by_image.get(image);
+        let has_image = |i: usize| known.is_some_and(|known| known.has_image[i]);
+        let ready = |i: &&usize| has_image(**i) || cleared.contains(*i);
+        Order::Some(some.iter().filter(ready).copied().collect())
     }
 
     /// The next candidate at or after a place in this order that may have room for a task in this pass: its place in the
     /// order, and which candidate it is.
     pub(super) fn next(
-        &self,
+        &mut self,
         order: &Order,
         from: usize,
         need: &Room,
         pass: &Pass,
     ) -> Option<(usize, usize)> {
-        let is_of_kind = |i: usize| pass.spot.is_none_or(|spot| spot == self.machines[i].spot);
+        let kind = Kind::of(need, pass);
         match order {
             Order::Some(some) => {
+                let is_of_kind = |i: usize| pass.spot.is_none_or(|s| s == self.machines[i].spot);
                 let rest = some.iter().enumerate().skip(from);
                 let mut of_kind = rest.filter(|(_, i)| is_of_kind(**i));
                 of_kind.next().map(|(place, i)| (place, *i))
             }
             Order::All => {
-                let least = least_amounts(need, pass);
-                let mut at = from;
-                loop {
-                    let i = self.index.first_from(at, &least)?;
-                    if is_of_kind(i) {
-                        return Some((i, i));
-                    }
-                    at = i + 1;
-                }
+                let i = self.first_from(kind, from, need)?;
+                Some((i, i))
+            }
+            Order::WithImage { image, cleared } => {
+                let known = self.by_image.get_mut(image);
+                let amounts = [need.cores, need.cards, need.ram];
+                let imaged = known.and_then(|k| k.first_from(&self.machines, kind, from, &amounts));
+                let is_of_kind = |i: &usize| self.machines[*i].amounts(kind) != Index::NOTHING;
+                let mut cleared = cleared.iter().copied().filter(|i| *i >= from);
+                let cleared = cleared.find(is_of_kind);
+                let i = imaged.into_iter().chain(cleared).min()?;
+                Some((i, i))
             }
         }
     }
 
+    /// The first candidate of a kind at or after a place that has so much room.
+    fn first_from(&mut self, kind: Kind, from: usize, need: &Room) -> Option<usize> {
+        let machines = &self.machines;
+        let need = [need.cores, need.cards, need.ram];
+        self.index
+            .first_from(kind as usize, from, &need, |i| machines[i].amounts(kind))
+    }
+
     /// At most `size` candidates with room for a task, drawn at random, in id order; all of them where they are no more.
     ///
     /// Guards against a sample that misses the few machines that fit, and against a sample that costs as much as offering
     /// the job to everybody.
-    pub(super) fn sample(&self, need: &Room, size: usize, rng: &mut fastrand::Rng) -> Vec<usize> {
-        let least = least_amounts(need, &Pass::default());
+    pub(super) fn sample(
+        &mut self,
+        need: &Room,
+        size: usize,
+        rng: &mut fastrand::Rng,
+    ) -> Vec<usize> {
+        let kind = Kind::of(need, &Pass::default());
         let mut found = Vec::new();
         let mut at = 0;
-        while let Some(i) = self.index.first_from(at, &least) {
+        while let Some(i) = self.first_from(kind, at, need) {
             if found.len() == size {
-                return self.draw(&least, size, rng);
+                return self.draw(kind, need, size, rng);
             }
             found.push(i);
             at = i + 1;
@@ -215,13 +325,19 @@
 
     /// The first candidates with room after `size` places drawn at random; where that one was drawn before, the next. There
     /// are more of them than are drawn.
-    fn draw(&self, least: &Amounts, size: usize, rng: &mut fastrand::Rng) -> Vec<usize> {
+    fn draw(
+        &mut self,
+        kind: Kind,
+        need: &Room,
+        size: usize,
+        rng: &mut fastrand::Rng,
+    ) -> Vec<usize> {
         let mut drawn = BTreeSet::new();
         for _ in 0..size {
             let mut from = rng.usize(..self.machines.len());
             loop {
-                let after = self.index.first_from(from, least);
-                let Some(i) = after.or_else(|| self.index.first_from(0, least)) else {
+                let after = self.first_from(kind, from, need);
+                let Some(i) = after.or_else(|| self.first_from(kind, 0, need)) else {
                     break;
                 };
                 if drawn.insert(i) {
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -57,16 +57,17 @@
             }
             let before = self.jobs.get(id).map_or(0, Job::waiting);
             if !self.is_held_back(id) {
-                let order = self.order_for(id, &machines, sample);
+                let order = self.order_for(id, &mut machines, sample);
                 self.offer_job(id, &mut machines, &order, &mut room, now);
             }
             self.note_offered(id, before, now);
             self.delay(id, now);
         }
+        self.count_steps(machines.steps());
     }
 
     /// The machines that a job is offered to in this round: all of them, or a sample where that would be too many offers.
-    fn order_for(&mut self, id: &JobId, machines: &Candidates, sample: usize) -> Order {
+    fn order_for(&mut self, id: &JobId, machines: &mut Candidates, sample: usize) -> Order {
         let need = self.jobs.get(id).map(|job| job.spec.need());
         match need {
             Some(need) if sample < machines.len() => {
@@ -276,8 +277,8 @@
     /// The machines of an order, zone by zone.
     fn order_by_zone(&self, machines: &Candidates, order: &Order) -> Vec<Vec<usize>> {
         let all: Vec<usize> = match order {
-            Order::All => (0..machines.len()).collect(),
             Order::Some(some) => some.clone(),
+            Order::All | Order::WithImage { .. } => (0..machines.len()).collect(),
         };
         let mut by_zone: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
         for i in all {
@@ -419,17 +420,13 @@
             return Order::Some(Vec::new());
         };
         let cleared = job.claims.iter().filter_map(|(m, _)| machines.position(m));
-        let mut ready: Vec<usize> = cleared.collect();
-        let moves = job.moving_until > now && !job.claims.is_empty();
-        if !moves {
-            ready.extend(machines.with_image(&job.spec.image, &self.machines));
+        let mut cleared: Vec<usize> = cleared.collect();
+        cleared.sort_unstable();
+        if job.moving_until > now && !cleared.is_empty() {
+            return Order::Some(cleared);
         }
-        ready.sort_unstable();
-        ready.dedup();
-        if let Order::Some(some) = order {
-            ready.retain(|i| some.binary_search(i).is_ok());
-        }
-        Order::Some(ready)
+        machines.look_up_image(&job.spec.image, &self.machines);
+        machines.with_image(order, &job.spec.image, cleared)
     }
 
     /// Whether a machine may take one more task of the job, room and team limit aside.
--- a/src/scheduler/rental_plan.rs
+++ b/src/scheduler/rental_plan.rs
@@ -9,7 +9,7 @@
 use super::reserve::Reserve;
 use super::{JobId, Scheduler, TaskId};
 use crate::units::{Micros, Room};
-use ravenhead_index::FirstFit;
+use ravenhead_index::FirstFitByKind;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -19,8 +19,37 @@
 /// Fewer waiting tasks than this are no ramp.
 const RAMP_FROM: usize = 16;
 
-/// What the index knows of a bin: its free room, and as flags what some jobs ask for.
-type Amounts = [i64; 5];
+/// What an index knows of a bin: its free processors, accelerators and memory.
+type Amounts = [i64; 3];
+type Index = FirstFitByKind<3, KINDS>;
+
+/// Which bins a job asks for; each kind has an index of its own.
+#[derive(Debug, Clone, Copy)]
+enum Kind {
+    /// Any.
+    Any,
+    /// Those whose room is there as soon as the machine is.
+    Soon,
+    /// Ordinary machines.
+    Ordinary,
+    /// Both.
+    OrdinarySoon,
+}
+
+const KINDS: usize = 4;
+
+impl Kind {
+    const ALL: [Kind; KINDS] = [Kind::Any, Kind::Soon, Kind::Ordinary, Kind::OrdinarySoon];
+
+    fn of(patient: bool, ordinary_only: bool) -> Kind {
+        match (patient, ordinary_only) {
+            (true, false) => Kind::Any,
+            (false, false) => Kind::Soon,
+            (true, true) => Kind::Ordinary,
+            (false, true) => Kind::OrdinarySoon,
+        }
+    }
+}
 
 /// Room that is expected: a machine that boots, is being rented, or is about to be rented.
 struct Bin {
@@ -55,20 +84,26 @@
         self.slots -= tasks;
     }
 
-    fn amounts(&self) -> Amounts {
-        if self.slots == 0 {
-            return [i64::MIN; 5];
+    /// What an index of a kind knows of it.
+    fn amounts(&self, kind: Kind) -> Amounts {
+        let is_of_kind = match kind {
+            Kind::Any => true,
+            Kind::Soon => !self.later,
+            Kind::Ordinary => !self.pool.spot,
+            Kind::OrdinarySoon => !self.later && !self.pool.spot,
+        };
+        if !is_of_kind || self.slots == 0 {
+            return Index::NOTHING;
         }
         let Room { cores, cards, ram } = self.free;
-        let (now, ordinary) = (!self.later, !self.pool.spot);
-        [cores, cards, ram, i64::from(now), i64::from(ordinary)]
+        [cores, cards, ram]
     }
 }
 
 /// A plan of rentals in the making.
 struct Plan {
     bins: Vec<Bin>,
-    index: FirstFit<5>,
+    index: Index,
     /// The first bin that may take the next task of the job at hand.
     next: usize,
     /// Machines to be rented by it.
@@ -78,13 +113,22 @@
 }
 
 impl Plan {
+    /// The first bin of a kind at or after the place that has so much room.
+    fn first_from(&mut self, from: usize, kind: Kind, need: &Room) -> Option<usize> {
+        let bins = &self.bins;
+        let need = [need.cores, need.cards, need.ram];
+        self.index
+            .first_from(kind as usize, from, &need, |i| bins[i].amounts(kind))
+    }
+
     fn fill(&mut self, bin: usize, need: &Room, tasks: usize) {
         self.bins[bin].fill(need, tasks);
-        self.index.set(bin, self.bins[bin].amounts());
+        let filled = &self.bins[bin];
+        self.index.set(bin, |kind| filled.amounts(Kind::ALL[kind]));
     }
 
     fn add(&mut self, bin: Bin) -> usize {
-        self.index.push(bin.amounts());
+        self.index.push(|kind| bin.amounts(Kind::ALL[kind]));
         self.bins.push(bin);
         self.bins.len() - 1
     }
@@ -123,6 +167,7 @@
         if let Some(reserve) = &reserve {
             self.plan_places(&reserve.like, places.saturating_sub(free), &mut plan, now);
         }
+        self.count_steps(plan.index.visited() as usize);
         self.requests(plan)
     }
 
@@ -324,7 +369,7 @@
         }
         let bins = self.coming(now);
         Plan {
-            index: FirstFit::new(bins.iter().map(Bin::amounts)),
+            index: Index::new(bins.len()),
             bins,
             next: 0,
             rented: 0,
@@ -352,17 +397,10 @@
         // For latency-sensitive work a rented machine comes later than what ends within a part of a boot.
         let patient = spec.due_s.is_none() && self.has_time_for_boots(spec)
             || self.is_latency_sensitive(spec);
-        let Room { cores, cards, ram } = need;
         let ordinary_only = !spec.spot || job.lost_on_spot;
-        let least = [
-            cores,
-            cards,
-            ram,
-            i64::from(!patient),
-            i64::from(ordinary_only),
-        ];
+        let kind = Kind::of(patient, ordinary_only);
         // What did not take one task of a job does not take the next.
-        while let Some(i) = plan.index.first_from(plan.next, &least) {
+        while let Some(i) = plan.first_from(plan.next, kind, &need) {
             self.count_steps(1);
             plan.next = i;
             let bin = &plan.bins[i];
--- a/src/scheduler/scenarios/mod.rs
+++ b/src/scheduler/scenarios/mod.rs
@@ -6,6 +6,7 @@
 mod latency_sensitive;
 mod orders;
 mod recovery;
+mod scale;
 mod turns;
 
 use super::machine::MOST_TASKS;
--- /dev/null
+++ b/src/scheduler/scenarios/scale.rs
@@ -0,0 +1,228 @@
+//! How the work grows with the fleet: each scenario runs with few and with eight times as many machines and jobs, and counts
+//! the steps of loops over machines, jobs and tasks.
+
+use super::*;
+
+const FEW: usize = 500;
+const MANY: usize = 4_000;
+/// Work that grows with the fleet grows by eight, and by a little more for searches in an index; work that grows with the
+/// square of it would grow by sixty-four.
+const LINEAR: f64 = 8.0 * 1.5;
+
+/// Steps that something takes.
+fn steps(t: &mut Scenario, work: impl FnOnce(&mut Scenario)) -> f64 {
+    let before = t.s.steps();
+    work(t);
+    (t.s.steps() - before).max(1) as f64
+}
+
+/// Asserts that eight times as many machines take no more than that many times the work.
+fn assert_growth(most: f64, measure: impl Fn(usize) -> f64) {
+    let (few, many) = (measure(FEW), measure(MANY));
+    let growth = many / few;
+    assert!(growth <= most, "{few} and {many} steps: {growth:.1} times");
+}
+
+/// A fleet of empty machines that report.
+fn empty_fleet(machines: usize) -> Scenario {
+    let mut t = Scenario::new(0.0);
+    for i in 0..machines {
+        t.worker(&format!("m-{i:06}"), ["a", "b"][i % 2], i % 3 > 0);
+    }
+    t.wait(1);
+    t
+}
+
+/// A fleet on which nothing more has room, and half as many jobs that wait.
+fn full_fleet(machines: usize) -> Scenario {
+    let mut t = empty_fleet(machines);
+    t.submit(JobSpec {
+        expect_s: 5_000.0,
+        ..spec("j-0", 2 * machines as u32)
+    });
+    while t.s.machines.values().any(|m| m.held.len() < 2) {
+        t.wait(1);
+        t.round();
+    }
+    t.beat_together(0);
+    t.beat_together(0);
+    assert_eq!(t.running(), 2 * machines);
+    backlog(&mut t, machines / 2);
+    t.wait(1);
+    t.round();
+    t
+}
+
+fn backlog(t: &mut Scenario, jobs: usize) {
+    for i in 0..jobs {
+        let image = format!("image-{}", i % 8);
+        t.submit(JobSpec {
+            image,
+            ..spec(&format!("j-w{i:06}"), 3)
+        });
+    }
+}
+
+#[test]
+fn a_round_that_fills_an_empty_fleet_takes_work_in_proportion() {
+    assert_growth(LINEAR, |machines| {
+        let mut t = empty_fleet(machines);
+        t.s.config.offers_per_round = 10_000_000;
+        backlog(&mut t, machines / 2);
+        let steps = steps(&mut t, |t| t.s.round(t.now));
+        let placed: usize = t.s.machines.values().map(|m| m.held.len()).sum();
+        assert_eq!(placed, machines / 2 * 3, "every task has its place");
+        steps
+    });
+}
+
+#[test]
+fn a_round_of_a_full_fleet_with_a_backlog_takes_work_in_proportion() {
+    assert_growth(LINEAR, |machines| {
+        let mut t = full_fleet(machines);
+        t.wait(30);
+        steps(&mut t, |t| t.s.round(t.now))
+    });
+}
+
+#[test]
+fn a_round_in_which_nothing_is_due_takes_no_work() {
+    let mut t = full_fleet(MANY);
+    assert!(steps(&mut t, |t| t.s.round(t.now)) < 10.0);
+}
+
+#[test]
+fn a_report_takes_the_same_work_in_a_fleet_of_any_size() {
+    assert_growth(1.5, |machines| {
+        let mut t = full_fleet(machines);
+        let report = t
+            .workers
+            .get_mut("m-000007")
+            .expect("a worker")
+            .report("m-000007");
+        steps(&mut t, |t| {
+            t.s.on_report(&report, "n-1", t.now);
+            t.s.orders_for(&report.machine, report.position(), t.now);
+            t.s.awaits_write(&report.machine);
+        })
+    });
+}
+
+// Guards against the first round of a new leader, and the plans after it, taking as long as the square of the fleet.
+#[test]
+fn a_plan_of_the_fleet_takes_work_in_proportion() {
+    for full in [true, false] {
+        assert_growth(LINEAR, |machines| {
+            let mut t = if full {
+                full_fleet(machines)
+            } else {
+                let mut t = Scenario::new(0.0);
+                let pool = Pool {
+                    machine_type: "rig".into(),
+                    zone: "a".into(),
+                    spot: true,
+                };
+                let names = (0..machines).map(|i| MachineId(format!("m-{i:06}")));
+                let names: Vec<MachineId> = names.collect();
+                t.s.inherit_rented(&pool, &names, Micros::ZERO, t.now);
+                t.wait(10);
+                backlog(&mut t, machines / 2);
+                t
+            };
+            t.s.config.rent_per_round = 40;
+            steps(&mut t, |t| {
+                t.s.plan_fleet(t.now, 1_000_000_000);
+            })
+        });
+    }
+}
+
+// Guards against a plan that looks at no more than ten thousand tasks: of a job of small tasks four hundred machines were
+// rented, and no more before these were up.
+#[test]
+fn a_fleet_for_tens_of_thousands_of_small_tasks_is_rented_without_waiting_for_the_first_boots() {
+    let mut t = Scenario::new(0.0);
+    t.s.config.rent_per_round = 500;
+    t.submit(JobSpec {
+        cores: 0.5,
+        cards: 0.0,
+        ram_gb: 1.0,
+        ..spec("j-1", 100_000)
+    });
+    t.wait(60);
+    let mut rented = 0;
+    for _ in 0..20 {
+        let plan = t.s.plan_fleet(t.now, 1_000_000_000);
+        for request in plan.rent {
+            let names = (0..request.count).map(|i| MachineId(format!("m-{:06}", rented + i)));
+            let names: Vec<MachineId> = names.collect();
+            rented += names.len();
+            t.s.rent_started(&request);
+            t.s.rent_done(&request, &names, t.now);
+        }
+        t.now = t.now + Micros::millis(500);
+    }
+    // Thirty-two on a machine, which has sixteen processors.
+    assert!((3_125..3_300).contains(&rented), "{rented} machines");
+}
+
+// Guards against a bound of 512 tasks a job and round that keeps short tasks from ever filling a large fleet.
+#[test]
+fn one_job_may_place_a_task_for_each_machine_in_a_round() {
+    let mut t = empty_fleet(MANY);
+    t.submit(spec("j-1", 3 * MANY as u32));
+    t.round();
+    let placed = t.s.jobs[&JobId("j-1".into())].live as usize;
+    assert!((MANY..=2 * MANY).contains(&placed), "{placed} tasks");
+}
+
+// Guards against a backlog of thousands of jobs that are all offered every four hundred milliseconds.
+#[test]
+fn a_backlog_is_offered_less_often_the_longer_it_is_and_all_of_it() {
+    let mut t = Scenario::new(0.0);
+    t.s.config.offers_per_round = 1_600;
+    t.worker("m-1", "a", true);
+    backlog(&mut t, 1_000);
+    t.submit(live("j-live"));
+    t.round();
+    let tries = |t: &Scenario, id: &str| t.s.jobs[&JobId(id.into())].next_try.since(t.now);
+    let later = tries(&t, "j-w000999");
+    // A hundred jobs in an interval of 0.4 s, and a job more than a thousand.
+    assert!((4_400..=4_500).contains(&later.as_millis()), "{later}");
+    assert!(
+        tries(&t, "j-live").as_millis() <= 500,
+        "what is critical does not wait longer"
+    );
+}
+
+// Guards against chunks whose finishes wait being looked at again for each batch.
+#[test]
+fn finishes_that_wait_are_not_looked_at_again_and_again() {
+    let mut t = empty_fleet(FEW);
+    t.submit(spec("j-1", 2 * FEW as u32));
+    t.round();
+    t.beat_together(0);
+    let mut reports = Vec::new();
+    for (name, worker) in t.workers.iter_mut().step_by(2) {
+        worker.exit_all(ExitCause::Done);
+        reports.push(worker.report(name));
+    }
+    for report in reports {
+        t.s.on_report(&report, "n-1", t.now);
+    }
+    assert_eq!(
+        t.s.next_batch(20, 36_000, true),
+        vec![],
+        "they wait for others"
+    );
+    let again = steps(&mut t, |t| {
+        for _ in 0..10 {
+            assert_eq!(t.s.next_batch(20, 36_000, true), vec![]);
+        }
+    });
+    assert!(again < 10.0, "{again} steps");
+    // Ten seconds later they are written all the same.
+    t.wait(11);
+    t.s.round(t.now);
+    assert_ne!(t.s.next_batch(20, 36_000, true), vec![]);
+}
--- a/tests/support/invariants.rs
+++ b/tests/support/invariants.rs
@@ -29,6 +29,9 @@
     pub done: BTreeSet<u32>,
 }
 
+/// A task: its job and its number.
+type TaskKey = (String, u32);
+
 /// Keeps the books.
 #[derive(Debug, Default)]
 pub struct InvariantChecker {
@@ -39,7 +42,9 @@
     /// All jobs by name.
     pub jobs: BTreeMap<String, Told>,
     /// Where tasks are: machine and place by task.
-    on: BTreeMap<(String, u32), (String, Place)>,
+    on: BTreeMap<TaskKey, (String, Place)>,
+    /// Jobs of which a user was told that they are cancelled.
+    cancelled: BTreeSet<String>,
     /// Rules that were broken.
     pub breaches: Vec<String>,
     /// Everything, in order.
@@ -125,6 +130,9 @@
             }
             (None, "done" | "aborted") => {
                 job.end = Some((state.to_owned(), now));
+                if state == "aborted" {
+                    self.cancelled.insert(id.to_owned());
+                }
                 if state == "done" && done < all {
                     self.breach(now, "not_done", format!("{id}: {done} of {all}"));
                 }
@@ -170,11 +178,9 @@
             Value::String(one) => one == has,
             _ => true,
         };
-        let zones: Vec<String> = self
-            .on
-            .iter()
-            .filter(|((job, _), _)| job == id)
-            .map(|(_, (_, p))| p.zone.clone())
+        let zones: Vec<&str> = self
+            .tasks_of(id)
+            .map(|(_, (_, p))| p.zone.as_str())
             .collect();
         let here = zones.iter().filter(|z| **z == place.zone).count();
         let tasks = spec["takes"].as_u64().unwrap_or(0) as usize;
@@ -188,7 +194,17 @@
         }
     }
 
+    /// The tasks of a job that are on machines.
+    fn tasks_of(&self, id: &str) -> impl Iterator<Item = (&TaskKey, &(String, Place))> {
+        let all = (id.to_owned(), 0)..=(id.to_owned(), u32::MAX);
+        self.on.range(all)
+    }
+
     fn check_quota(&mut self, now: u64, team: &str) {
+        let limit = self.limits.get(team).copied().unwrap_or(0.0);
+        if limit <= 0.0 {
+            return;
+        }
         let used: f64 = self
             .on
             .keys()
@@ -196,8 +212,7 @@
             .filter(|j| j.spec["crew"] == team)
             .map(|j| j.spec["cards"].as_f64().unwrap_or(0.0))
             .sum();
-        let limit = self.limits.get(team).copied().unwrap_or(0.0);
-        if limit > 0.0 && used > limit + 1e-9 {
+        if used > limit + 1e-9 {
             self.breach(now, "quota", format!("{team}: {used} of {limit}"));
         }
     }
@@ -222,13 +237,12 @@
 
     /// Looks for what should be over by now.
     pub fn look(&mut self, now: u64) {
-        let late: Vec<String> = self
-            .on
-            .iter()
-            .filter(|((id, _), _)| {
-                let end = self.jobs.get(id).and_then(|j| j.end.as_ref());
-                end.is_some_and(|(end, at)| end == "aborted" && now > at + self.cancel)
-            })
+        let overdue = self.cancelled.iter().filter(|id| {
+            let end = self.jobs.get(*id).and_then(|j| j.end.as_ref());
+            end.is_some_and(|(_, at)| now > at + self.cancel)
+        });
+        let left = overdue.flat_map(|id| self.tasks_of(id));
+        let late: Vec<String> = left
             .map(|((id, index), (machine, _))| format!("{id}/{index} on {machine}"))
             .collect();
         for what in late {
@@ -238,7 +252,7 @@
 
     /// How many tasks of a job are on machines.
     pub fn running(&self, id: &str) -> usize {
-        self.on.keys().filter(|(job, _)| job == id).count()
+        self.tasks_of(id).count()
     }
 
     /// How many tasks are on a machine.
@@ -248,8 +262,7 @@
 
     /// Machines on which tasks of a job are.
     pub fn machines_of(&self, id: &str) -> Vec<String> {
-        let of = self.on.iter().filter(|((job, _), _)| job == id);
-        let names: BTreeSet<String> = of.map(|(_, (m, _))| m.clone()).collect();
+        let names: BTreeSet<String> = self.tasks_of(id).map(|(_, (m, _))| m.clone()).collect();
         names.into_iter().collect()
     }
 }
--- a/tests/support/sim.rs
+++ b/tests/support/sim.rs
@@ -28,11 +28,18 @@
 type Work = Pin<Box<dyn Future<Output = ()>>>;
 type Executor = async_executor::LocalExecutor<'static>;
 
-struct Flag(AtomicBool);
+/// Whether a host's work was woken; the first to wake it puts the host among those that can go on.
+struct Flag {
+    host: HostId,
+    woken: AtomicBool,
+    ready: Arc<Mutex<Vec<HostId>>>,
+}
 
 impl Wake for Flag {
     fn wake(self: Arc<Self>) {
-        self.0.store(true, Ordering::Relaxed);
+        if !self.woken.swap(true, Ordering::Relaxed) {
+            self.ready.lock().expect("the hosts").push(self.host);
+        }
     }
 }
 
@@ -40,7 +47,8 @@
 struct Life {
     work: Work,
     woken: Arc<Flag>,
-    ex: Rc<Executor>,
+    /// The executor of its routines, if it has any beside its work.
+    ex: Option<Rc<Executor>>,
 }
 
 #[derive(Default)]
@@ -48,6 +56,8 @@
     life: Option<Life>,
     /// It stands still until then.
     still_until: u64,
+    /// Microseconds that it stood still in all.
+    still_for: u64,
 }
 
 /// Time, hosts and the network among them.
@@ -58,6 +68,10 @@
     timers_made: Cell<u64>,
     current: Cell<HostId>,
     hosts: RefCell<BTreeMap<HostId, Host>>,
+    /// Hosts whose work was woken.
+    ready: Arc<Mutex<Vec<HostId>>>,
+    /// Hosts with executors, of which nothing else tells that they can go on.
+    with_executor: RefCell<BTreeSet<HostId>>,
     rng: RefCell<fastrand::Rng>,
     external_clients: Cell<usize>,
     /// Microseconds that a packet takes at least.
@@ -69,6 +83,8 @@
     refusing: RefCell<BTreeSet<(HostId, HostId)>>,
     ways_changed: Event,
     pipes: RefCell<Vec<Weak<Pipe>>>,
+    /// So many pipes are kept before it is looked which of them are gone.
+    pipes_kept: Cell<usize>,
 }
 
 thread_local! {
@@ -120,7 +136,7 @@
     }
 
     /// A host that nobody else is.
-    pub fn next_guest(&self) -> HostId {
+    pub fn next_client(&self) -> HostId {
         self.external_clients.set(self.external_clients.get() + 1);
         EXTERNAL_CLIENTS + self.external_clients.get()
     }
@@ -135,11 +151,20 @@
         let before = self.current.replace(host);
         let work = Box::pin(make(ex.clone()));
         self.current.set(before);
-        let life = Life {
-            work,
-            woken: Arc::new(Flag(AtomicBool::new(true))),
-            ex,
-        };
+        // Where nobody else holds the executor, nothing is spawned on it.
+        let ex = (Rc::strong_count(&ex) > 1).then_some(ex);
+        if ex.is_some() {
+            self.with_executor.borrow_mut().insert(host);
+        } else {
+            self.with_executor.borrow_mut().remove(&host);
+        }
+        let woken = Arc::new(Flag {
+            host,
+            woken: AtomicBool::new(false),
+            ready: self.ready.clone(),
+        });
+        woken.clone().wake();
+        let life = Life { work, woken, ex };
         let mut hosts = self.hosts.borrow_mut();
         let entry = hosts.entry(host).or_default();
         entry.still_until = 0;
@@ -172,13 +197,23 @@
     /// Lets a host stand still while its clocks run on.
     pub fn stand_still(&self, host: HostId, seconds: f64) {
         if let Some(h) = self.hosts.borrow_mut().get_mut(&host) {
-            h.still_until = self.now() + (seconds * 1e6) as u64;
-            let waker = Waker::noop().clone();
+            let until = self.now() + (seconds * 1e6) as u64;
+            h.still_for += until.saturating_sub(h.still_until.max(self.now()));
+            h.still_until = until;
+            let waker = match &h.life {
+                Some(life) => Waker::from(life.woken.clone()),
+                None => Waker::noop().clone(),
+            };
             let id = self.next_timer();
-            self.timers.borrow_mut().insert((h.still_until, id), waker);
+            self.timers.borrow_mut().insert((until, id), waker);
         }
     }
 
+    /// Microseconds that a host stood still in all.
+    pub fn still_for(&self, host: HostId) -> u64 {
+        self.hosts.borrow().get(&host).map_or(0, |h| h.still_for)
+    }
+
     /// Blocks or opens a way; what was sent meanwhile is held and then delivered.
     pub fn block(&self, from: HostId, to: HostId, blocked: bool) {
         let mut ways = self.blocked.borrow_mut();
@@ -250,7 +285,10 @@
 
     /// Polls what can go on; false if nothing can.
     fn step(&self) -> bool {
-        let ids: Vec<HostId> = self.hosts.borrow().keys().copied().collect();
+        let mut ids = std::mem::take(&mut *self.ready.lock().expect("the hosts"));
+        ids.extend(self.with_executor.borrow().iter());
+        ids.sort_unstable();
+        ids.dedup();
         let mut went_on = false;
         for id in ids {
             let life = {
@@ -262,7 +300,7 @@
             let Some(mut life) = life else { continue };
             self.current.set(id);
             let mut over = false;
-            if life.woken.0.swap(false, Ordering::Relaxed) {
+            if life.woken.woken.swap(false, Ordering::Relaxed) {
                 went_on = true;
                 let waker = Waker::from(life.woken.clone());
                 over = life
@@ -271,7 +309,7 @@
                     .poll(&mut Context::from_waker(&waker))
                     .is_ready();
             }
-            while life.ex.try_tick() {
+            while life.ex.as_ref().is_some_and(|ex| ex.try_tick()) {
                 went_on = true;
             }
             self.current.set(SCENARIO);
@@ -284,6 +322,7 @@
                 host.life = Some(life);
             } else {
                 hosts.remove(&id);
+                self.with_executor.borrow_mut().remove(&id);
             }
         }
         went_on
@@ -364,7 +403,12 @@
             to,
             state: Mutex::default(),
         });
-        sim().pipes.borrow_mut().push(Arc::downgrade(&pipe));
+        let sim = sim();
+        if sim.pipes.borrow().len() >= sim.pipes_kept.get() {
+            let open = sim.open_pipes().len();
+            sim.pipes_kept.set(2 * open + 1_024);
+        }
+        sim.pipes.borrow_mut().push(Arc::downgrade(&pipe));
         pipe
     }
 
