--- a/src/config.rs
+++ b/src/config.rs
@@ -27,6 +27,8 @@
 
 /// Memory that an accepted job of a few tasks takes, in the cached view and at the leader.
 const JOB_KB: f64 = 4.0;
+/// It is told where the memory holds fewer jobs than this.
+const FEW_JOBS: usize = 1_000;
 /// So many jobs are accepted whatever the memory.
 const LEAST_ADMISSION_CAP: usize = 50;
 
@@ -265,6 +267,29 @@
         Ok(())
     }
 
+    /// What the service can serve with, but not well, in words.
+    pub fn warnings(&self) -> Vec<String> {
+        let f = &self.facts;
+        let mut warnings = Vec::new();
+        // A report, four seconds for an answer that does not come, one until the next controller is tried, and its answer.
+        let one_miss_s = f.workers.report_s * 1.25 + 4.0 + 1.0 + 1.0;
+        if f.workers.lease_s < one_miss_s {
+            warnings.push(format!(
+                "facts.workers.lease_s: {} is shorter than the {one_miss_s:.1} s that a worker needs where one answer \
+                 is missed",
+                f.workers.lease_s
+            ));
+        }
+        let jobs = Settings::default().admission_cap(self);
+        if jobs < FEW_JOBS {
+            warnings.push(format!(
+                "facts.machine_limits.ram_mb: {} is memory for {jobs} jobs only",
+                f.machine_limits.ram_mb
+            ));
+        }
+        warnings
+    }
+
     /// The teams' guarantees and limits.
     pub fn teams(&self) -> BTreeMap<String, TeamShare> {
         let share = |t: &Team| TeamShare::new(t.cpus, t.cpus_max, t.gpus, t.gpus_max);
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -60,6 +60,40 @@
     assert!(error.1.contains("lease_s"), "{error:?}");
 }
 
+// Guards against a start that ends in a service which can accept nobody.
+#[test]
+fn too_few_sockets_for_the_members_are_refused_and_what_is_tight_is_told() {
+    let with = |from: &str, to: &str| PLATFORM.replace(from, to);
+    let p = Platform::parse(PLATFORM).expect("fine settings");
+    assert_eq!(p.warnings(), Vec::<String>::new());
+    let least = LEAST_SOCKETS + SOCKETS_PER_MEMBER * p.members.len();
+    let sockets = format!("max_sockets = {}", p.facts.machine_limits.max_sockets);
+    assert!(Platform::parse(&with(&sockets, &format!("max_sockets = {least}"))).is_ok());
+    let few = format!("max_sockets = {}", least - 1);
+    let error = Platform::parse(&with(&sockets, &few)).expect_err("too few");
+    assert_eq!(error.0, "facts.machine_limits.max_sockets");
+    let tight = Platform::parse(&with("lease_s = 36.0", "lease_s = 8.0")).expect("it can serve");
+    let warnings = tight.warnings();
+    assert_eq!(warnings.len(), 1, "{warnings:?}");
+    assert!(
+        warnings[0].starts_with("facts.workers.lease_s: 8 "),
+        "{warnings:?}"
+    );
+}
+
+// Guards against bounds that follow from the smallest memory or the smallest share, where a fleet is large.
+#[test]
+fn bounds_grow_with_the_limits_and_can_be_set_for_a_large_fleet() {
+    let mut p = Platform::parse(PLATFORM).expect("fine settings");
+    p.facts.machine_limits.ram_mb = 200.0;
+    assert_eq!(Settings::default().admission_cap(&p), 12_800);
+    let large = Settings::parse(include_str!("../../deploy/large-fleet.xml")).expect("it is fine");
+    assert_eq!(large.admission_cap(&p), 20_000);
+    assert_eq!(large.scheduler_config(&p).rent_per_round, 200);
+    p.facts.machine_limits.max_sockets = 3_500;
+    assert!(p.kept_connections() * p.members.len().max(1) <= 3_500 / 16);
+}
+
 #[test]
 fn the_example_of_the_operators_settings_is_fine_and_names_every_element() {
     let text = include_str!("../../deploy/ravenhead.xml");
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -392,6 +392,9 @@
         "event=started node={} zone={} bind={} internal={}",
         node.platform.node, node.platform.zone, node.platform.bind, node.platform.internal_addr
     );
+    for warning in node.platform.warnings() {
+        warn!("event=settings_tight reason={warning:?}");
+    }
     let duty = |name: &'static str, work: std::pin::Pin<Box<dyn Future<Output = ()>>>| {
         ex.spawn(async move {
             work.await;
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -14,7 +14,7 @@
 use crate::units::Micros;
 use event_listener::Event;
 use futures_lite::{FutureExt, future};
-use log::{debug, info};
+use log::{debug, info, warn};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
@@ -36,6 +36,8 @@
 const BATCH_BYTES: usize = 36 * 1024;
 /// How often the fleet is looked at.
 const FLEET_EVERY: Micros = Micros::millis(500);
+/// Reading the machine list for longer than this is told: machines that died are then found late.
+const SLOW_LIST: Micros = Micros::secs(15);
 /// How often the machine types are read.
 const MACHINE_TYPES_EVERY: Micros = Micros::secs(30);
 
@@ -274,6 +276,10 @@
         let asked_at = node.clock.now();
         match node.cloud.list().await {
             Ok(list) => {
+                let took = node.clock.now().since(asked_at);
+                if took > SLOW_LIST {
+                    warn!("event=list_slow machines={} took={took}", list.len());
+                }
                 let mut scheduler = leading.scheduler.borrow_mut();
                 scheduler.on_list(&list, asked_at);
             }
--- a/src/scheduler/offers.rs
+++ b/src/scheduler/offers.rs
@@ -50,6 +50,13 @@
         let mut room = MakeRoom::new(self.coming_room(now));
         self.beside_a_card = self.room_beside_a_card(&due);
         let sample = self.sample_size(due.len(), machines.len());
+        if sample < machines.len() {
+            self.details.push(format!(
+                "event=offers_sampled jobs={} machines={} sample={sample}",
+                due.len(),
+                machines.len()
+            ));
+        }
         for id in &self.with_claimants(&due) {
             if !due.contains(id) {
                 self.hold_claims(id, &mut machines);
