Rebuilding in three modules; the large deployment of the tests stands once

Readable code: the comparison of keys and the plan of what to write are modules of their own; the settings of a large deployment are one function for both tests.

--- a/src/rebuild.rs
+++ b/src/rebuild.rs
@@ -6,22 +6,23 @@
 //! it was read, and then leads with a scheduler that offers nothing until all machines were heard. `docs/recovery.md` has the
 //! choices behind it.
 
+mod audit;
+mod plan;
+
 use crate::clock::sleep;
 use crate::controller::Node;
 use crate::election::Leadership;
-use crate::scheduler::{End, Final, JobId};
-use crate::state::{Change, Condition, Outcome, Page, StateError, Urgency};
+use crate::state::{Change, Condition, Outcome, StateError, Urgency};
 use crate::store::{
-    ArchivedEnd, CandidateRecord, LEADER, LOSS, LossRecord, MACHINE_TYPES, View, archive_key,
-    candidate_key, chunk_key, end_key, job_key, rental_key,
+    CandidateRecord, LEADER, LOSS, LossRecord, View, candidate_key, end_key, job_key,
 };
 use crate::units::Micros;
 use log::{debug, info};
-use ravenhead_recovery::{
-    Candidate, Evidence, Finding, KeyVersion, Restore, Stored, audit, missing, rank, token_base,
-};
+use ravenhead_recovery::{Candidate, Evidence, Restore, rank, token_base};
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+
+use audit::{AuditPlace, audit_page, look_for_tokens};
+use plan::{batches, plan, unknown_to};
 
 /// How often it is looked what there is to do.
 const LOOK_EVERY: Micros = Micros::millis(250);
@@ -43,11 +44,6 @@
 const RETRY_PAUSE: Micros = Micros::millis(150);
 /// Room for values in one transaction of 64 KiB.
 const BATCH_BYTES: usize = 36 * 1024;
-/// Bytes of an archived end, with room to spare.
-const ARCHIVED_BYTES: usize = 160;
-/// Prefixes that are compared with the view, in turn.
-const AUDITED: [&str; 3] = ["r/job/", "r/end/", "r/run/"];
-
 impl Node {
     /// Whether answers are held back, as this controller may not know what was told to users: stored state was lost and is
     /// not there again, or it began just now and has not compared what it read with what the others know.
@@ -192,101 +188,6 @@
     }
 }
 
-/// Looks whether anybody knows a token that the state service could not have given.
-async fn look_for_tokens(node: &Node) {
-    let token = node.known().token;
-    let ahead = |view: &View| view.loaded && token > view.token(view.revision);
-    if !ahead(&node.store.view.borrow()) {
-        return;
-    }
-    // The view may lag: what is there now counts, and the base of tokens was written with the token's election.
-    let found = node.state.get(Urgency::Now, LOSS).await;
-    let (base, revision) = match found {
-        Ok(Ok(item)) => {
-            let record = serde_json::from_value::<LossRecord>(item.value);
-            let Ok(record) = record else { return };
-            match node.state.get(Urgency::Now, "r/nothing").await {
-                Ok(Err(revision)) => (record.base, revision),
-                _ => return,
-            }
-        }
-        Ok(Err(revision)) => (0, revision),
-        Err(_) => return,
-    };
-    let possible = base + revision;
-    if token > possible {
-        let evidence = Evidence::TokenAhead { token, possible };
-        node.state.report_loss(evidence);
-    }
-}
-
-/// Where the comparison of keys goes on.
-#[derive(Debug, Clone, Default)]
-struct AuditPlace {
-    prefix: usize,
-    from: String,
-}
-
-/// Compares one page of the keys with the view, and says where to go on.
-async fn audit_page(node: &Node, place: AuditPlace) -> AuditPlace {
-    let prefix = AUDITED[place.prefix];
-    let losses = node.store.losses_found();
-    let Ok(page) = node.state.list(prefix, &place.from).await else {
-        return place;
-    };
-    // A view that was begun anew meanwhile says nothing of a page from before.
-    if !node.store.caught_up(page.revision, CATCH_UP_WITHIN).await
-        || node.store.losses_found() != losses
-    {
-        return place;
-    }
-    let last = page.items.last().map(|item| item.key.clone());
-    let end = last.filter(|_| page.more);
-    match compare(node, prefix, &place.from, end.as_deref(), &page) {
-        Finding::Same => {}
-        Finding::Lost(evidence) => node.state.report_loss(evidence),
-        Finding::Unseen { key, version } => look_at_unseen(node, key, version).await,
-    }
-    match end {
-        Some(from) => AuditPlace { from, ..place },
-        None => AuditPlace {
-            prefix: (place.prefix + 1) % AUDITED.len(),
-            from: String::new(),
-        },
-    }
-}
-
-/// Compares a page of the keys with a prefix, from one key to another, with the view.
-fn compare(node: &Node, prefix: &str, from: &str, end: Option<&str>, page: &Page) -> Finding {
-    let known = node.store.view.borrow().versions(prefix);
-    let is_in_page = |key: &str| key > from && end.is_none_or(|end| key <= end);
-    let known = known.iter().filter(|(key, _)| is_in_page(key));
-    let known = known.map(|(key, version)| KeyVersion {
-        key,
-        version: *version,
-    });
-    let listed = page.items.iter().map(|item| KeyVersion {
-        key: &item.key,
-        version: item.version,
-    });
-    audit(known, listed, page.revision)
-}
-
-/// A key was listed that the view did not have: whether it is still there, and the view still lacks it.
-async fn look_at_unseen(node: &Node, key: String, version: u64) {
-    let Ok(Ok(item)) = node.state.get(Urgency::Paced, &key).await else {
-        return;
-    };
-    let view = node.store.view.borrow();
-    let is_seen = AUDITED
-        .iter()
-        .any(|prefix| view.versions(prefix).iter().any(|(k, _)| *k == key));
-    if item.version == version && !is_seen {
-        node.state
-            .report_loss(Evidence::RecordUnseen { key, version });
-    }
-}
-
 /// Tells the others what this controller can rebuild from; whether that was written.
 async fn tell_candidate(node: &Node) -> bool {
     let record = {
@@ -378,21 +279,6 @@
     info!("event=loss_over");
 }
 
-/// What a snapshot has and the view lacks: ends of jobs, and jobs that are not over.
-fn unknown_to(view: &View, snapshot: &View) -> Vec<(JobId, String, Value)> {
-    let ended = snapshot
-        .ends
-        .iter()
-        .filter(|(id, _)| !view.ends.contains_key(*id));
-    let ended = ended.map(|(id, end)| (id.clone(), end_key(id), json!(end.value)));
-    let open = snapshot
-        .jobs
-        .iter()
-        .filter(|(id, _)| !view.knows(id) && !snapshot.ends.contains_key(*id));
-    let open = open.map(|(id, job)| (id.clone(), job_key(id), json!(job.value)));
-    ended.chain(open).collect()
-}
-
 fn absent(key: String) -> Condition {
     Condition { key, version: 0 }
 }
@@ -455,81 +341,6 @@
     }
 }
 
-/// What is missing, as far as this controller's snapshot tells.
-fn plan(node: &Node, number: u64) -> Vec<Restore<Value>> {
-    let loss = node.store.loss.borrow();
-    let Some(snapshot) = loss.as_ref().and_then(|l| l.snapshot.as_ref()) else {
-        return Vec::new();
-    };
-    let view = node.store.view.borrow();
-    let cancellations = node.cancellations.borrow();
-    let cancelled = cancellations.cancelled().map(|(job, at)| {
-        let end = End {
-            how: Final::Aborted,
-            at,
-            done: 0,
-        };
-        (job, end)
-    });
-    let mut ends: BTreeMap<&JobId, End> = cancelled.collect();
-    ends.extend(snapshot.ends.iter().map(|(id, end)| (id, end.value)));
-    ends.retain(|id, _| !view.ends.contains_key(*id));
-    // Ends of jobs whose records are there are keys of their own, as writes are conditional on them.
-    let (of_records, archived): (Vec<_>, Vec<_>) = ends
-        .into_iter()
-        .partition(|(id, _)| snapshot.jobs.contains_key(*id) || view.jobs.contains_key(*id));
-    // Only ends that are not there are among these: whatever their version, there is nothing that they could replace.
-    let new = |(key, value): (String, Value)| (key, Stored { value, version: 1 });
-    let mut records: Vec<(String, Stored<Value>)> = of_records
-        .iter()
-        .map(|(id, end)| new((end_key(id), json!(end))))
-        .collect();
-    records.extend(
-        archives(node, number, &archived, &view)
-            .into_iter()
-            .map(new),
-    );
-    records.extend(snapshot.records(&view));
-    missing(records, &view.present())
-}
-
-/// Ends in as few values as they fit into.
-fn archives(node: &Node, number: u64, ends: &[(&JobId, End)], view: &View) -> Vec<(String, Value)> {
-    let value_bytes = node.platform.facts.state.value_kb * 1024.0;
-    let most = (value_bytes as usize / ARCHIVED_BYTES).max(1);
-    // A rebuild that was cut off may have written some of this loss already.
-    let first = view.archives;
-    let parts = ends.chunks(most).enumerate();
-    parts
-        .map(|(part, some)| {
-            let some = some.iter().map(|(job, end)| ArchivedEnd {
-                job: (*job).clone(),
-                end: *end,
-            });
-            let some: Vec<ArchivedEnd> = some.collect();
-            (archive_key(number, first + part), json!(some))
-        })
-        .collect()
-}
-
-/// Keys in batches that a transaction holds.
-fn batches(plan: &[Restore<Value>], ops: usize, bytes: usize) -> Vec<&[Restore<Value>]> {
-    let mut batches = Vec::new();
-    let mut first = 0;
-    let mut size = 0;
-    for (i, restore) in plan.iter().enumerate() {
-        let value = restore.value.to_string().len() + 2 * restore.key.len();
-        if i > first && (i - first >= ops || size + value > bytes) {
-            batches.push(&plan[first..i]);
-            first = i;
-            size = 0;
-        }
-        size += value;
-    }
-    batches.push(&plan[first..]);
-    batches
-}
-
 /// Writes keys under the leader key; false where one of them is not as it was read, so that the plan must be made anew.
 async fn write(
     node: &Node,
@@ -576,59 +387,3 @@
         sleep(RETRY_PAUSE).await;
     }
 }
-
-impl View {
-    /// The keys with a prefix that are compared with what is stored, and the revisions of their last changes, in order.
-    fn versions(&self, prefix: &str) -> Vec<(String, u64)> {
-        let mut versions: Vec<(String, u64)> = match prefix {
-            "r/job/" => {
-                let jobs = self.jobs.iter();
-                jobs.map(|(id, job)| (job_key(id), job.version)).collect()
-            }
-            "r/end/" => {
-                let ends = self.ends.iter();
-                ends.map(|(id, end)| (end_key(id), end.version)).collect()
-            }
-            _ => {
-                let chunks = self.runs.iter().flat_map(|(id, chunks)| {
-                    let chunks = chunks.iter();
-                    chunks.map(move |(n, chunk)| (chunk_key(id, *n), chunk.version))
-                });
-                chunks.collect()
-            }
-        };
-        versions.sort_unstable();
-        versions
-    }
-
-    /// What a loss must not take away, ends aside: jobs and their runs, and machine types and rentals that `now` lacks.
-    fn records(&self, now: &View) -> Vec<(String, Stored<Value>)> {
-        let mut records: Vec<(String, Stored<Value>)> = self.present().into_iter().collect();
-        let new = |key: String, value: Value| (key, Stored { value, version: 1 });
-        if let Some(types) = &self.machine_types
-            && now.machine_types.is_none()
-        {
-            records.push(new(MACHINE_TYPES.to_owned(), json!(types.value)));
-        }
-        let rentals = self.rentals.iter();
-        let rentals = rentals.filter(|(name, _)| !now.rentals.contains_key(*name));
-        records.extend(rentals.map(|(name, rental)| new(rental_key(name), json!(rental))));
-        records
-    }
-
-    /// What is stored of jobs and their runs.
-    fn present(&self) -> BTreeMap<String, Stored<Value>> {
-        let stored = |value: Value, version: u64| Stored { value, version };
-        let mut present = BTreeMap::new();
-        for (id, job) in &self.jobs {
-            present.insert(job_key(id), stored(json!(job.value), job.version));
-        }
-        for (id, chunks) in &self.runs {
-            for (n, chunk) in chunks {
-                let chunk = stored(json!(chunk.value), chunk.version);
-                present.insert(chunk_key(id, *n), chunk);
-            }
-        }
-        present
-    }
-}
--- /dev/null
+++ b/src/rebuild/plan.rs
@@ -0,0 +1,136 @@
+//! What has to be written to rebuild: what a snapshot has and the stored state lacks.
+
+use crate::controller::Node;
+use crate::scheduler::{End, Final, JobId};
+use crate::store::{
+    ArchivedEnd, MACHINE_TYPES, View, archive_key, chunk_key, end_key, job_key, rental_key,
+};
+use ravenhead_recovery::{Restore, Stored, missing};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+
+/// Bytes of an archived end, with room to spare.
+const ARCHIVED_BYTES: usize = 160;
+
+/// What is missing, as far as this controller's snapshot tells.
+pub(super) fn plan(node: &Node, number: u64) -> Vec<Restore<Value>> {
+    let loss = node.store.loss.borrow();
+    let Some(snapshot) = loss.as_ref().and_then(|l| l.snapshot.as_ref()) else {
+        return Vec::new();
+    };
+    let view = node.store.view.borrow();
+    let cancellations = node.cancellations.borrow();
+    let cancelled = cancellations.cancelled().map(|(job, at)| {
+        let end = End {
+            how: Final::Aborted,
+            at,
+            done: 0,
+        };
+        (job, end)
+    });
+    let mut ends: BTreeMap<&JobId, End> = cancelled.collect();
+    ends.extend(snapshot.ends.iter().map(|(id, end)| (id, end.value)));
+    ends.retain(|id, _| !view.ends.contains_key(*id));
+    // Ends of jobs whose records are there are keys of their own, as writes are conditional on them.
+    let (of_records, archived): (Vec<_>, Vec<_>) = ends
+        .into_iter()
+        .partition(|(id, _)| snapshot.jobs.contains_key(*id) || view.jobs.contains_key(*id));
+    // Only ends that are not there are among these: whatever their version, there is nothing that they could replace.
+    let new = |(key, value): (String, Value)| (key, Stored { value, version: 1 });
+    let mut records: Vec<(String, Stored<Value>)> = of_records
+        .iter()
+        .map(|(id, end)| new((end_key(id), json!(end))))
+        .collect();
+    records.extend(
+        archives(node, number, &archived, &view)
+            .into_iter()
+            .map(new),
+    );
+    records.extend(snapshot.records(&view));
+    missing(records, &view.present())
+}
+
+/// Ends in as few values as they fit into.
+fn archives(node: &Node, number: u64, ends: &[(&JobId, End)], view: &View) -> Vec<(String, Value)> {
+    let value_bytes = node.platform.facts.state.value_kb * 1024.0;
+    let most = (value_bytes as usize / ARCHIVED_BYTES).max(1);
+    // A rebuild that was cut off may have written some of this loss already.
+    let first = view.archives;
+    let parts = ends.chunks(most).enumerate();
+    parts
+        .map(|(part, some)| {
+            let some = some.iter().map(|(job, end)| ArchivedEnd {
+                job: (*job).clone(),
+                end: *end,
+            });
+            let some: Vec<ArchivedEnd> = some.collect();
+            (archive_key(number, first + part), json!(some))
+        })
+        .collect()
+}
+
+/// Keys in batches that a transaction holds.
+pub(super) fn batches(plan: &[Restore<Value>], ops: usize, bytes: usize) -> Vec<&[Restore<Value>]> {
+    let mut batches = Vec::new();
+    let mut first = 0;
+    let mut size = 0;
+    for (i, restore) in plan.iter().enumerate() {
+        let value = restore.value.to_string().len() + 2 * restore.key.len();
+        if i > first && (i - first >= ops || size + value > bytes) {
+            batches.push(&plan[first..i]);
+            first = i;
+            size = 0;
+        }
+        size += value;
+    }
+    batches.push(&plan[first..]);
+    batches
+}
+
+/// What a snapshot has and the view lacks: ends of jobs, and jobs that are not over.
+pub(super) fn unknown_to(view: &View, snapshot: &View) -> Vec<(JobId, String, Value)> {
+    let ended = snapshot
+        .ends
+        .iter()
+        .filter(|(id, _)| !view.ends.contains_key(*id));
+    let ended = ended.map(|(id, end)| (id.clone(), end_key(id), json!(end.value)));
+    let open = snapshot
+        .jobs
+        .iter()
+        .filter(|(id, _)| !view.knows(id) && !snapshot.ends.contains_key(*id));
+    let open = open.map(|(id, job)| (id.clone(), job_key(id), json!(job.value)));
+    ended.chain(open).collect()
+}
+
+impl View {
+    /// What a loss must not take away, ends aside: jobs and their runs, and machine types and rentals that `now` lacks.
+    fn records(&self, now: &View) -> Vec<(String, Stored<Value>)> {
+        let mut records: Vec<(String, Stored<Value>)> = self.present().into_iter().collect();
+        let new = |key: String, value: Value| (key, Stored { value, version: 1 });
+        if let Some(types) = &self.machine_types
+            && now.machine_types.is_none()
+        {
+            records.push(new(MACHINE_TYPES.to_owned(), json!(types.value)));
+        }
+        let rentals = self.rentals.iter();
+        let rentals = rentals.filter(|(name, _)| !now.rentals.contains_key(*name));
+        records.extend(rentals.map(|(name, rental)| new(rental_key(name), json!(rental))));
+        records
+    }
+
+    /// What is stored of jobs and their runs.
+    fn present(&self) -> BTreeMap<String, Stored<Value>> {
+        let stored = |value: Value, version: u64| Stored { value, version };
+        let mut present = BTreeMap::new();
+        for (id, job) in &self.jobs {
+            present.insert(job_key(id), stored(json!(job.value), job.version));
+        }
+        for (id, chunks) in &self.runs {
+            for (n, chunk) in chunks {
+                let chunk = stored(json!(chunk.value), chunk.version);
+                present.insert(chunk_key(id, *n), chunk);
+            }
+        }
+        present
+    }
+}
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -20,22 +20,7 @@
 const SECOND: f64 = 1e6;
 
 fn deployment() -> Deployment {
-    Deployment {
-        nodes: 3,
-        report_s: 6.0,
-        lease_s: 31.0,
-        cancel_s: 61.0,
-        state_rps: 60.0,
-        write_rps: 15.0,
-        txn_ops: 12,
-        cloud_rps: 3.0,
-        ram_mb: 72.0,
-        sockets: 1_500,
-        enforces_limits: true,
-        capacity: MACHINES,
-        machines: MACHINES,
-        rebuilds: false,
-    }
+    Deployment::large(MACHINES)
 }
 
 /// A job whose tasks run for as long as any scenario takes, one on a machine, and leave room for a small one.
--- a/tests/state_loss.rs
+++ b/tests/state_loss.rs
@@ -270,19 +270,8 @@
 /// A fleet that is busy loses its state; how long it takes until it is there again, and until all machines were heard.
 fn rebuild_a_fleet(machines: usize) {
     let deployment = Deployment {
-        report_s: 6.0,
-        lease_s: 31.0,
-        cancel_s: 61.0,
-        state_rps: 60.0,
-        write_rps: 15.0,
-        txn_ops: 12,
-        cloud_rps: 3.0,
-        ram_mb: 72.0,
-        enforces_limits: true,
-        capacity: machines,
-        machines,
         rebuilds: true,
-        ..Deployment::default()
+        ..Deployment::large(machines)
     };
     let w = World::build(1, deployment);
     let jobs = machines / 20;
--- a/tests/support/world/mod.rs
+++ b/tests/support/world/mod.rs
@@ -133,6 +133,27 @@
     }
 }
 
+impl Deployment {
+    /// So many machines, with the times of workers of the large deployments and else the smallest limits of any, which the
+    /// state service and the cloud enforce.
+    pub fn large(machines: usize) -> Deployment {
+        Deployment {
+            report_s: 6.0,
+            lease_s: 31.0,
+            cancel_s: 61.0,
+            state_rps: 60.0,
+            write_rps: 15.0,
+            txn_ops: 12,
+            cloud_rps: 3.0,
+            ram_mb: 72.0,
+            enforces_limits: true,
+            capacity: machines,
+            machines,
+            ..Deployment::default()
+        }
+    }
+}
+
 /// A bucket of tokens, one of which each request or change takes; it holds those of some seconds.
 struct Bucket {
     per_second: f64,
