--- a/crates/load/src/controller.rs
+++ b/crates/load/src/controller.rs
@@ -26,7 +26,12 @@
 
 impl Controller {
     /// Starts a controller with these outside systems.
-    pub fn start(program: &Path, places: &Places, sockets: usize) -> io::Result<Controller> {
+    pub fn start(
+        program: &Path,
+        places: &Places,
+        sockets: usize,
+        rebuilds: bool,
+    ) -> io::Result<Controller> {
         let bind = free_address()?;
         let settings = format!(
             "node = \"n-0\"\nzone = \"a\"\nbind = \"{bind}\"\ninternal_addr = \"{}\"\n\
@@ -42,9 +47,14 @@
         );
         let path = std::env::temp_dir().join(format!("ravenhead-load-{}.toml", std::process::id()));
         std::fs::write(&path, settings)?;
-        let process = Command::new(program)
-            .arg("--config")
-            .arg(&path)
+        let mut command = Command::new(program);
+        command.arg("--config").arg(&path);
+        if rebuilds {
+            let settings = path.with_extension("xml");
+            std::fs::write(&settings, "<ravenhead><rebuild>1</rebuild></ravenhead>")?;
+            command.arg("--settings").arg(settings);
+        }
+        let process = command
             .env("LOG_LEVEL", "error")
             .stdin(Stdio::null())
             .spawn()?;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -39,6 +39,9 @@
     /// Arrays of 64 tasks that wait besides, for which no room ever gets free.
     #[arg(long, default_value_t = 0)]
     backlog: usize,
+    /// Lets the state service lose everything after the measurement, and measures the rebuilding; not for earlier versions.
+    #[arg(long, conflicts_with = "before")]
+    lose_state: bool,
     /// The controller's limit of sockets.
     #[arg(long, default_value_t = 6_000)]
     sockets: usize,
@@ -91,7 +94,7 @@
     let second = Duration::from_secs(args.seconds);
     async_io::block_on(ex.clone().run(async {
         let places = site.listen(&ex).await?;
-        let controller = Controller::start(program, &places, args.sockets)?;
+        let controller = Controller::start(program, &places, args.sockets, args.lose_state)?;
         site.start_workers(&ex, controller.bind);
         site.submit_work(&ex, controller.bind, args.backlog).await;
         Timer::after(second).await;
@@ -99,6 +102,12 @@
         site.begin_measuring();
         Timer::after(second).await;
         let ended = controller.usage()?;
-        Ok(site.measurement(version, args.seconds, &began, &ended))
+        let measurement = site.measurement(version, args.seconds, &began, &ended);
+        if args.lose_state {
+            let rebuilt = site.lose_state().await;
+            let memory_mb = controller.usage()?.memory_mb;
+            println!("workers={workers} {rebuilt} memory_mb={memory_mb:.1}");
+        }
+        Ok(measurement)
     }))
 }
--- a/crates/load/src/site.rs
+++ b/crates/load/src/site.rs
@@ -14,10 +14,11 @@
 use ravenhead_stand_ins::keys::{Keys, query_field};
 use serde_json::{Value, json};
 use std::cell::RefCell;
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Replicas of one service, and tasks of one array.
 const TASKS: usize = 64;
@@ -28,6 +29,9 @@
 /// Seconds that a task of an array runs.
 pub const TASK_S: f64 = 20.0;
 
+/// How long a rebuild is waited for.
+const REBUILT_WITHIN: Duration = Duration::from_secs(120);
+
 /// Where the outside systems listen.
 pub struct Places {
     /// The state service.
@@ -36,6 +40,29 @@
     pub cloud: SocketAddr,
 }
 
+/// How a rebuild went.
+pub struct Rebuilt {
+    keys: usize,
+    /// Requests to the state service until it was confirmed.
+    requests: u64,
+    restored: Option<Duration>,
+    confirmed: Option<Duration>,
+}
+
+impl fmt::Display for Rebuilt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let seconds = |time: Option<Duration>| time.map_or(f64::NAN, |t| t.as_secs_f64());
+        write!(
+            f,
+            "lost_keys={} state_requests={} restored_s={:.1} confirmed_s={:.1}",
+            self.keys,
+            self.requests,
+            seconds(self.restored),
+            seconds(self.confirmed)
+        )
+    }
+}
+
 /// All stand-ins together.
 #[derive(Clone)]
 pub struct Site(Rc<Inner>);
@@ -128,6 +155,36 @@
         self.0.recorder.replace(Recorder::new());
     }
 
+    /// Everything that the state service holds is lost; returns when it is rebuilt and confirmed, or after two minutes.
+    pub async fn lose_state(&self) -> Rebuilt {
+        let keys = self.0.keys.borrow().keys.len();
+        self.0.keys.borrow_mut().lose_all();
+        self.0.keys_changed.notify(usize::MAX);
+        let asked = || self.0.recorder.borrow().state_requests;
+        let asked_before = asked();
+        let began = Instant::now();
+        let mut rebuilt = Rebuilt {
+            keys,
+            requests: 0,
+            restored: None,
+            confirmed: None,
+        };
+        while rebuilt.confirmed.is_none() && began.elapsed() < REBUILT_WITHIN {
+            Timer::after(Duration::from_millis(50)).await;
+            let loss = self.0.keys.borrow().keys.get("r/loss").cloned();
+            let Some((loss, _)) = loss else { continue };
+            let passed = began.elapsed();
+            if loss["restored"] == true {
+                rebuilt.restored.get_or_insert(passed);
+            }
+            if loss["confirmed"] == true {
+                rebuilt.confirmed = Some(passed);
+            }
+        }
+        rebuilt.requests = asked() - asked_before;
+        rebuilt
+    }
+
     /// What was measured.
     pub fn measurement(
         &self,
