One way to write a key and to want it absent; one flag for rebuilding; less looked at twice

Found on rereading the change, behaviour as it is: the condition that a key is absent and the change that writes one stood in users, rebuild, batches, rentals, contacts and the election, and are Condition::absent and Change::put now; whether losses are looked for was kept by the store beside the state client; cancellations took machines off their list in two ways; the key that never exists and the bytes of a batch stood twice; a listed key that the view lacked was looked for under all prefixes; a filter and a check could never decide anything; the list's time had two names.

--- a/src/cancellations.rs
+++ b/src/cancellations.rs
@@ -15,7 +15,6 @@
 use bitcode::{Decode, Encode};
 use log::{debug, info};
 use ravenhead_index::{Cursor, CursorLog};
-use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// A start that was sent just before a cancellation can still arrive for so long: a worker waits four seconds for it.
@@ -117,14 +116,19 @@
         }
     }
 
-    /// Nothing of a cancelled job is left on a machine.
-    fn clear(&mut self, gone: Gone, unix_time: u64) {
-        if let Some(jobs) = self.left_on.get_mut(&gone.machine) {
-            jobs.remove(&gone.job);
+    /// A report of a machine need not be looked at for a cancelled job any more.
+    fn unlist(&mut self, machine: &MachineId, job: &JobId) {
+        if let Some(jobs) = self.left_on.get_mut(machine) {
+            jobs.remove(job);
             if jobs.is_empty() {
-                self.left_on.remove(&gone.machine);
+                self.left_on.remove(machine);
             }
         }
+    }
+
+    /// Nothing of a cancelled job is left on a machine.
+    fn clear(&mut self, gone: Gone, unix_time: u64) {
+        self.unlist(&gone.machine, &gone.job);
         self.gone.push((unix_time, gone));
     }
 
@@ -279,12 +283,7 @@
         for job in over {
             let machines = self.known.remove(&job).map(|k| k.machines);
             for machine in machines.unwrap_or_default().into_keys() {
-                if let Entry::Occupied(mut jobs) = self.left_on.entry(machine) {
-                    jobs.get_mut().remove(&job);
-                    if jobs.get().is_empty() {
-                        jobs.remove();
-                    }
-                }
+                self.unlist(&machine, &job);
             }
             for told in self.told.values_mut() {
                 told.jobs.remove(&job);
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -125,7 +125,7 @@
             incarnation: fastrand::u64(..) >> 12,
             began: clock.now(),
             clock,
-            store: Store::new(state.clone(), clock, pause, settings.rebuilds()),
+            store: Store::new(state.clone(), clock, pause),
             state,
             cloud: Cloud::new(platform.external.cloud, platform.facts.cloud.rps),
             peers: peers.collect(),
--- a/src/controller/contacts.rs
+++ b/src/controller/contacts.rs
@@ -9,7 +9,7 @@
 use event_listener::Event;
 use log::debug;
 use ravenhead_index::ExpiringMap;
-use serde_json::{Value, json};
+use serde_json::json;
 use std::cell::RefCell;
 
 /// How long a worker takes for a controller that does not answer: four seconds, and one until it tries the next.
@@ -17,6 +17,11 @@
 /// How long contacts gather before they are told.
 const GATHER: Micros = Micros::millis(200);
 
+/// Values of contacts in one transaction, which may take 64 KiB in all.
+const VALUES_A_TXN: usize = 6;
+/// The largest value of contacts, so that several fit into one transaction.
+const MOST_VALUE_BYTES: f64 = 8.0 * 1024.0;
+
 /// What a controller remembers of the workers that report to it.
 pub(super) struct Contacts {
     /// Machines whose reports could not be passed on.
@@ -151,11 +156,6 @@
     }
 }
 
-/// Values of contacts in one transaction, which may take 64 KiB in all.
-const VALUES_A_TXN: usize = 6;
-/// The largest value of contacts, so that several fit into one transaction.
-const MOST_VALUE_BYTES: f64 = 8.0 * 1024.0;
-
 /// The names of machines in as many values as it takes.
 fn contact_records(node: &Node, machines: &[MachineId]) -> Vec<Change> {
     let limit = (node.platform.facts.state.value_kb * 1024.0).min(MOST_VALUE_BYTES);
@@ -174,13 +174,8 @@
         }
         left = left.saturating_sub(bytes);
     }
-    let put = |(part, some): (usize, Vec<&MachineId>)| -> Change {
-        let value: Value = json!(some);
-        Change::Put {
-            key: contacts_key(&node.platform.node, part),
-            value,
-            lease: None,
-        }
+    let put = |(part, some): (usize, Vec<&MachineId>)| {
+        Change::put(contacts_key(&node.platform.node, part), json!(some))
     };
     values.into_iter().enumerate().map(put).collect()
 }
--- a/src/election.rs
+++ b/src/election.rs
@@ -94,21 +94,14 @@
         lease,
     };
     let losses_found = node.store.losses_found();
-    let mut when = vec![Condition {
-        key: LEADER.into(),
-        version: 0,
-    }];
+    let mut when = vec![Condition::absent(LEADER.into())];
     let mut writes = vec![
         Change::Put {
             key: LEADER.into(),
             value: json!(record),
             lease: Some(lease),
         },
-        Change::Put {
-            key: TERM.into(),
-            value: json!(node.platform.node),
-            lease: None,
-        },
+        Change::put(TERM.into(), json!(node.platform.node)),
     ];
     // A loss that is to be rebuilt is written down together with who rebuilds it.
     if let Some(loss) = node.loss_to_rebuild() {
@@ -123,11 +116,7 @@
             key: LOSS.into(),
             version: before,
         });
-        writes.push(Change::Put {
-            key: LOSS.into(),
-            value: json!(loss),
-            lease: None,
-        });
+        writes.push(Change::put(LOSS.into(), json!(loss)));
     }
     let revision = match node.state.txn(Urgency::Now, &when, &writes).await {
         Ok(Outcome::Applied(revision)) => revision,
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -34,7 +34,7 @@
 /// Batches written in one round.
 const BATCHES_PER_ROUND: usize = 4;
 /// Room left in a transaction of 64 KiB for its conditions.
-const BATCH_BYTES: usize = 36 * 1024;
+pub(crate) const BATCH_BYTES: usize = 36 * 1024;
 /// How often the fleet is looked at.
 const FLEET_EVERY: Micros = Micros::millis(500);
 /// Reading the machine list for longer than this is told: machines that died are then found late.
@@ -241,11 +241,7 @@
                     .set_machine_types(&machine_types);
                 let known = node.store.view.borrow().machine_types.clone();
                 if known.is_none_or(|k| !same_but_prices(&k.value, &machine_types)) {
-                    let put = Change::Put {
-                        key: MACHINE_TYPES.into(),
-                        value: json!(machine_types),
-                        lease: None,
-                    };
+                    let put = Change::put(MACHINE_TYPES.into(), json!(machine_types));
                     let when = [leading.leader_condition()];
                     if let Err(e) = node.state.txn(Urgency::Now, &when, &[put]).await {
                         debug!("event=flavors_not_written error={:?}", e.to_string());
--- a/src/leader/batches.rs
+++ b/src/leader/batches.rs
@@ -64,11 +64,6 @@
     let leader = leading.leader_condition();
     when.insert(leader.key, leader.version);
     let mut changes = Vec::new();
-    let put = |key: String, value: serde_json::Value| Change::Put {
-        key,
-        value,
-        lease: None,
-    };
     for write in batch {
         match write {
             Write::Chunk {
@@ -83,11 +78,11 @@
                 if *places {
                     when.insert(end_key(job), 0);
                 }
-                changes.push(put(key, json!(record)));
+                changes.push(Change::put(key, json!(record)));
             }
             Write::Done { job, tasks } => {
                 when.insert(end_key(job), 0);
-                changes.push(put(end_key(job), json!(done_record(*tasks, at))));
+                changes.push(Change::put(end_key(job), json!(done_record(*tasks, at))));
             }
             Write::Whole {
                 job,
@@ -95,7 +90,7 @@
                 version,
             } => {
                 when.insert(end_key(job), 0);
-                changes.push(put(end_key(job), json!(done_record(*tasks, at))));
+                changes.push(Change::put(end_key(job), json!(done_record(*tasks, at))));
                 let key = chunk_key(job, 0);
                 when.insert(key.clone(), *version);
                 if *version > 0 {
@@ -106,7 +101,7 @@
             Write::Images {
                 machine,
                 images: Some(images),
-            } => changes.push(put(images_key(machine), json!(images))),
+            } => changes.push(Change::put(images_key(machine), json!(images))),
             Write::Images { machine, .. } => changes.push(Change::Delete {
                 key: images_key(machine),
             }),
--- a/src/leader/rentals.rs
+++ b/src/leader/rentals.rs
@@ -163,11 +163,9 @@
     records: Vec<RentalRecord>,
     forgotten: Vec<String>,
 ) -> bool {
-    let puts = records.iter().map(|record| Change::Put {
-        key: rental_key(&record.rental.request_name),
-        value: json!(record),
-        lease: None,
-    });
+    let puts = records
+        .iter()
+        .map(|record| Change::put(rental_key(&record.rental.request_name), json!(record)));
     let deletes = forgotten.iter().map(|request_name| Change::Delete {
         key: rental_key(request_name),
     });
--- a/src/rebuild.rs
+++ b/src/rebuild.rs
@@ -12,6 +12,7 @@
 use crate::clock::sleep;
 use crate::controller::Node;
 use crate::election::Leadership;
+use crate::leader::BATCH_BYTES;
 use crate::state::{Change, Condition, Outcome, StateError, Urgency};
 use crate::store::{
     CandidateRecord, LEADER, LOSS, LossRecord, View, candidate_key, end_key, job_key,
@@ -42,8 +43,7 @@
 const OTHERS_WITHIN: Micros = Micros::secs(60);
 /// Pause before a transaction is sent again.
 const RETRY_PAUSE: Micros = Micros::millis(150);
-/// Room for values in one transaction of 64 KiB.
-const BATCH_BYTES: usize = 36 * 1024;
+
 impl Node {
     /// Whether answers are held back, as this controller may not know what was told to users: stored state was lost and is
     /// not there again, or it began just now and has not compared what it read with what the others know.
@@ -109,7 +109,7 @@
             revision: c.revision,
             node: node.clone(),
         });
-        let all: Vec<Candidate> = all.filter(|c| c.losses >= own.losses).collect();
+        let all: Vec<Candidate> = all.collect();
         let place = rank(&own, &all);
         place.is_some_and(|place| waited >= GATHER_FOR + PATIENCE.scaled(place as u64, 1))
     }
@@ -208,11 +208,7 @@
 }
 
 async fn put_candidate(node: &Node, record: &CandidateRecord) -> bool {
-    let put = Change::Put {
-        key: candidate_key(&node.platform.node),
-        value: json!(record),
-        lease: None,
-    };
+    let put = Change::put(candidate_key(&node.platform.node), json!(record));
     let told = node.state.txn(Urgency::Now, &[], &[put]).await;
     matches!(told, Ok(Outcome::Applied(_)))
 }
@@ -251,15 +247,11 @@
     };
     for (id, key, value) in changes {
         // An end is written once for ever, a submission only of a job that nobody knows.
-        let mut when = vec![absent(end_key(&id))];
+        let mut when = vec![Condition::absent(end_key(&id))];
         if key == job_key(&id) {
-            when.push(absent(key.clone()));
+            when.push(Condition::absent(key.clone()));
         }
-        let put = Change::Put {
-            key,
-            value,
-            lease: None,
-        };
+        let put = Change::put(key, value);
         loop {
             match node
                 .state
@@ -279,10 +271,6 @@
     info!("event=loss_over");
 }
 
-fn absent(key: String) -> Condition {
-    Condition { key, version: 0 }
-}
-
 /// Writes what was lost, as the elected leader; an error says why the term is over. Does nothing where nothing was lost.
 pub async fn restore(node: &Node, leadership: &Leadership) -> Result<(), &'static str> {
     let number = {
@@ -356,11 +344,9 @@
         version: restore.replaces,
     });
     let when: Vec<Condition> = conditions.chain([leader]).collect();
-    let puts = keys.iter().map(|restore| Change::Put {
-        key: restore.key.clone(),
-        value: restore.value.clone(),
-        lease: None,
-    });
+    let puts = keys
+        .iter()
+        .map(|restore| Change::put(restore.key.clone(), restore.value.clone()));
     let puts: Vec<Change> = puts.collect();
     loop {
         match node.state.txn(Urgency::Paced, &when, &puts).await {
--- a/src/rebuild/audit.rs
+++ b/src/rebuild/audit.rs
@@ -3,7 +3,7 @@
 use super::CATCH_UP_WITHIN;
 use crate::controller::Node;
 use crate::state::{Page, Urgency};
-use crate::store::{LOSS, LossRecord, View, chunk_key, end_key, job_key};
+use crate::store::{LOSS, LossRecord, NOTHING, View, chunk_key, end_key, job_key};
 use ravenhead_recovery::{Evidence, Finding, KeyVersion, audit};
 
 /// Prefixes that are compared with the view, in turn.
@@ -22,7 +22,7 @@
         Ok(Ok(item)) => {
             let record = serde_json::from_value::<LossRecord>(item.value);
             let Ok(record) = record else { return };
-            match node.state.get(Urgency::Now, "r/nothing").await {
+            match node.state.get(Urgency::Now, NOTHING).await {
                 Ok(Err(revision)) => (record.base, revision),
                 _ => return,
             }
@@ -62,7 +62,7 @@
     match compare(node, prefix, &place.from, end.as_deref(), &page) {
         Finding::Same => {}
         Finding::Lost(evidence) => node.state.report_loss(evidence),
-        Finding::Unseen { key, version } => look_at_unseen(node, key, version).await,
+        Finding::Unseen { key, version } => look_at_unseen(node, prefix, key, version).await,
     }
     match end {
         Some(from) => AuditPlace { from, ..place },
@@ -90,14 +90,12 @@
 }
 
 /// A key was listed that the view did not have: whether it is still there, and the view still lacks it.
-async fn look_at_unseen(node: &Node, key: String, version: u64) {
+async fn look_at_unseen(node: &Node, prefix: &str, key: String, version: u64) {
     let Ok(Ok(item)) = node.state.get(Urgency::Paced, &key).await else {
         return;
     };
     let view = node.store.view.borrow();
-    let is_seen = AUDITED
-        .iter()
-        .any(|prefix| view.versions(prefix).iter().any(|(k, _)| *k == key));
+    let is_seen = view.versions(prefix).iter().any(|(k, _)| *k == key);
     if item.version == version && !is_seen {
         node.state
             .report_loss(Evidence::RecordUnseen { key, version });
--- a/src/scheduler/candidates.rs
+++ b/src/scheduler/candidates.rs
@@ -96,8 +96,7 @@
         if !is_of_kind || self.tasks >= MOST_TASKS {
             return Index::NOTHING;
         }
-        let Room { cores, cards, ram } = self.free;
-        [cores, cards, ram]
+        self.free.amounts()
     }
 }
 
@@ -281,7 +280,7 @@
             }
             Order::WithImage { image, cleared } => {
                 let known = self.by_image.get_mut(image);
-                let amounts = [need.cores, need.cards, need.ram];
+                let amounts = need.amounts();
                 let imaged = known.and_then(|k| k.first_from(&self.machines, kind, from, &amounts));
                 let is_of_kind = |i: &usize| self.machines[*i].amounts(kind) != Index::NOTHING;
                 let mut cleared = cleared.iter().copied().filter(|i| *i >= from);
@@ -295,7 +294,7 @@
     /// The first candidate of a kind at or after a place that has so much room.
     fn first_from(&mut self, kind: Kind, from: usize, need: &Room) -> Option<usize> {
         let machines = &self.machines;
-        let need = [need.cores, need.cards, need.ram];
+        let need = need.amounts();
         self.index
             .first_from(kind as usize, from, &need, |i| machines[i].amounts(kind))
     }
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -214,7 +214,6 @@
 
     /// Takes in the machine list, which lags, and of which the first page was asked for at this time.
     pub fn on_list(&mut self, list: &[Listed], asked_at: Micros) {
-        let now = asked_at;
         let lag = self.config.list_lag;
         self.fleet.listed = true;
         self.note_list_of_rebuild(asked_at);
@@ -230,15 +229,15 @@
                 &entry.machine_type,
                 &entry.zone,
                 entry.spot,
-                now,
+                asked_at,
             );
             let Some(m) = self.machines.get_mut(&entry.machine) else {
                 continue;
             };
             if !known {
-                m.since = now.since(Micros::from_secs_f64(entry.age_s));
+                m.since = asked_at.since(Micros::from_secs_f64(entry.age_s));
             }
-            m.listed_at.get_or_insert(now);
+            m.listed_at.get_or_insert(asked_at);
             m.listed_running = entry.status == ListedStatus::Running;
             if entry.status == ListedStatus::Failed && !m.lost {
                 m.lost = true;
@@ -247,7 +246,7 @@
         for (id, m) in &mut self.machines {
             // A list may be older than the one before it, by twice the lag at most: only what is older than that
             // can be missed for being gone.
-            let old = now.since(m.since) > lag.scaled(3, 1) + Micros::secs(1);
+            let old = asked_at.since(m.since) > lag.scaled(3, 1) + Micros::secs(1);
             // Guards against a new leader that counts on what the one before rented and gave back, and takes these machines
             // for late boots: those that are there are listed by now.
             let never_came = m.newest.is_none() && !m.rented_now;
--- a/src/scheduler/job_index.rs
+++ b/src/scheduler/job_index.rs
@@ -52,7 +52,7 @@
             };
             if job.next_try > now {
                 self.schedule(job);
-            } else if job.open() > 0 {
+            } else {
                 due.insert(id);
             }
         }
--- a/src/scheduler/rental_plan.rs
+++ b/src/scheduler/rental_plan.rs
@@ -95,8 +95,7 @@
         if !is_of_kind || self.slots == 0 {
             return Index::NOTHING;
         }
-        let Room { cores, cards, ram } = self.free;
-        [cores, cards, ram]
+        self.free.amounts()
     }
 }
 
@@ -116,7 +115,7 @@
     /// The first bin of a kind at or after the place that has so much room.
     fn first_from(&mut self, from: usize, kind: Kind, need: &Room) -> Option<usize> {
         let bins = &self.bins;
-        let need = [need.cores, need.cards, need.ram];
+        let need = need.amounts();
         self.index
             .first_from(kind as usize, from, &need, |i| bins[i].amounts(kind))
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -51,6 +51,13 @@
     pub version: u64,
 }
 
+impl Condition {
+    /// The key must not exist.
+    pub fn absent(key: String) -> Condition {
+        Condition { key, version: 0 }
+    }
+}
+
 /// A change within a transaction.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 #[serde(untagged)]
@@ -75,6 +82,17 @@
     },
 }
 
+impl Change {
+    /// Writes a key that hangs on no lease.
+    pub fn put(key: String, value: Value) -> Change {
+        Change::Put {
+            key,
+            value,
+            lease: None,
+        }
+    }
+}
+
 /// What became of a transaction.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Outcome {
@@ -242,7 +260,7 @@
     requests: RefCell<Bucket>,
     writes: RefCell<Bucket>,
     response_time: RefCell<ResponseTime>,
-    /// Whether answers are looked at for evidence that stored state was lost.
+    /// Whether it is looked for evidence that stored state was lost, so that it can be rebuilt.
     watches_for_loss: bool,
     revisions: RefCell<RevisionWatch>,
     evidence: RefCell<Option<Evidence>>,
@@ -277,6 +295,11 @@
         }
     }
 
+    /// Whether it is looked for evidence that stored state was lost.
+    pub fn watches_for_loss(&self) -> bool {
+        self.watches_for_loss
+    }
+
     /// There is evidence that stored state was lost; the first counts until it is dealt with.
     pub fn report_loss(&self, evidence: Evidence) {
         self.evidence.borrow_mut().get_or_insert(evidence);
--- a/src/store.rs
+++ b/src/store.rs
@@ -17,7 +17,7 @@
 use std::rc::Rc;
 
 /// A key that never exists: reading it tells the current revision.
-const NOTHING: &str = "r/nothing";
+pub const NOTHING: &str = "r/nothing";
 
 /// How long a watch waits; short, so that one whose packets are held is soon replaced.
 const WATCH_FOR: Micros = Micros::secs(3);
@@ -84,8 +84,6 @@
     barrier: RefCell<Rc<BarrierRound>>,
     barrier_wanted: Event,
     answered: Cell<Micros>,
-    /// Whether stored state that was lost is rebuilt.
-    rebuilds: bool,
     /// The loss that is being rebuilt.
     pub loss: RefCell<Option<Loss>>,
     /// Losses found by this process.
@@ -95,7 +93,7 @@
 
 impl Store {
     /// An empty view; `pause` is how long changes gather before the next watch.
-    pub fn new(state: Rc<State>, clock: Clock, pause: Micros, rebuilds: bool) -> Store {
+    pub fn new(state: Rc<State>, clock: Clock, pause: Micros) -> Store {
         Store {
             state,
             clock,
@@ -108,7 +106,6 @@
             barrier: RefCell::default(),
             barrier_wanted: Event::new(),
             answered: Cell::new(clock.now()),
-            rebuilds,
             loss: RefCell::default(),
             losses_found: Cell::new(0),
             own_commits: RefCell::default(),
@@ -124,7 +121,7 @@
     pub fn is_rebuilding(&self) -> bool {
         let view = self.view.borrow();
         let is_lost = self.loss.borrow().is_some() || view.is_unfinished() || view.term == 0;
-        self.rebuilds && is_lost
+        self.state.watches_for_loss() && is_lost
     }
 
     /// This controller committed changes at this revision.
@@ -132,7 +129,7 @@
     /// Guards against a job that was accepted or cancelled, or a task that finished, right before a loss, so that no view
     /// shows it.
     pub fn note_commits(&self, revision: u64, changes: &[Change]) {
-        if !self.rebuilds {
+        if !self.state.watches_for_loss() {
             return;
         }
         let shown = self.view.borrow().revision;
@@ -221,9 +218,7 @@
                 continue;
             }
             self.follow_changes().or(self.wait_for_loss()).await;
-            if self.rebuilds
-                && let Some(evidence) = self.state.take_evidence()
-            {
+            if let Some(evidence) = self.state.take_evidence() {
                 self.begin_rebuild(&evidence);
             }
         }
@@ -233,7 +228,7 @@
     async fn wait_for_loss(&self) {
         loop {
             let found = self.state.loss_found.listen();
-            if self.rebuilds && self.state.has_evidence() {
+            if self.state.has_evidence() {
                 return;
             }
             found.await;
--- a/src/units.rs
+++ b/src/units.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Its amounts one after the other.
+    pub fn amounts(&self) -> [i64; 3] {
+        [self.cores, self.cards, self.ram]
+    }
+
     /// Whether `need` fits into this room.
     pub fn holds(&self, need: &Room) -> bool {
         need.cores <= self.cores && need.cards <= self.cards && need.ram <= self.ram
--- a/src/users.rs
+++ b/src/users.rs
@@ -86,8 +86,11 @@
     if value.to_string().len() as f64 > limit {
         return Reply::error(400, "submission too large");
     }
-    let when = [absent(job_key(&id)), absent(end_key(&id))];
-    let put = [put(job_key(&id), value)];
+    let when = [
+        Condition::absent(job_key(&id)),
+        Condition::absent(end_key(&id)),
+    ];
+    let put = [Change::put(job_key(&id), value)];
     match commit(node, &when, &put).await {
         Some(Outcome::Applied(revision)) => {
             node.store.note_commits(revision, &put);
@@ -210,8 +213,8 @@
             done: node.store.view.borrow().status(&id).map_or(0, |s| s.done),
         };
         // The one key that decides between done and aborted; whoever writes it first.
-        let when = [absent(end_key(&id))];
-        let put = [put(end_key(&id), json!(end))];
+        let when = [Condition::absent(end_key(&id))];
+        let put = [Change::put(end_key(&id), json!(end))];
         match commit(node, &when, &put).await {
             Some(Outcome::Applied(revision)) => {
                 node.store.note_commits(revision, &put);
@@ -263,15 +266,3 @@
         sleep(TRY_PAUSE).await;
     }
 }
-
-fn absent(key: String) -> Condition {
-    Condition { key, version: 0 }
-}
-
-fn put(key: String, value: serde_json::Value) -> Change {
-    Change::Put {
-        key,
-        value,
-        lease: None,
-    }
-}
