Review: a hung machine keeps a cancelled task when the leader loses the way to the cloud

One machine hangs and the way from the leader to the cloud is interrupted while a job is cancelled; the other controllers, which reach the cloud, send it nothing, and the task is on its machine 41 s after the user was told.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -132,6 +132,48 @@
     return server.sockets[0].getsockname()[1]
 
 
+class Link:
+    """A way between two hosts. While it is cut, what is sent is held back and delivered in order afterwards, and attempts
+    to connect are not answered and never complete."""
+
+    def __init__(self, port):
+        self.target, self.open = port, asyncio.Event()
+        self.open.set()
+        self.requests = []  # first lines of what went through, as the far side sees them
+
+    async def start(self):
+        server = await asyncio.start_server(self.connection, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    def cut(self, is_cut):
+        (self.open.clear if is_cut else self.open.set)()
+
+    async def connection(self, reader, writer):
+        try:
+            if not self.open.is_set():
+                while await reader.read(1 << 16):
+                    pass
+                return
+            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target)
+
+            async def pump(source, sink, requests):
+                try:
+                    while data := await source.read(1 << 16):
+                        await self.open.wait()
+                        if requests is not None:
+                            requests.append((time.monotonic(), data.split(b"\r\n")[0].decode("latin-1")))
+                        sink.write(data)
+                        await sink.drain()
+                finally:
+                    sink.close()
+
+            await asyncio.gather(pump(reader, far_writer, self.requests), pump(far_reader, writer, None))
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+
 class Bucket:
     """A rate limit with a burst."""
 
@@ -411,7 +453,7 @@
         self.site, self.name, self.type, self.yard, self.spot = site, name, machine_type, yard, spot
         self.port = 9  # nothing listens: direct commands are not needed by the cases
         self.rented_at, self.up_at, self.ended_at = time.monotonic(), None, None
-        self.exists, self.sick = True, False
+        self.exists, self.sick, self.hangs_until = True, False, 0.0
         self.session, self.seq, self.warrant = 1, 0, 0
         self.tasks, self.images = {}, set()
         self.changed = asyncio.Event()
@@ -476,12 +518,16 @@
                         pass
             if not self.exists:
                 return
+            await self.hung()
             self.changed.clear()
             sent_at = time.monotonic()
             session = self.session
             answer = await call(self.site.addresses[names[node]], "POST", "/checkin", self.report(), 4.0)
+            await self.hung()
             if not self.exists:
                 return
+            if time.monotonic() - sent_at > 4.0:
+                answer = None  # a worker drops answers after 4 s
             status = answer[0] if answer else None
             if status == 200:
                 self.on_answer(answer[2], session, sent_at)
@@ -493,6 +539,11 @@
                 await asyncio.sleep(1.0)
                 sent_at = time.monotonic() - facts["report_s"] * 1.25
 
+    async def hung(self):
+        """A hanging machine does nothing; it goes on later."""
+        while self.exists and time.monotonic() < self.hangs_until:
+            await asyncio.sleep(0.02)
+
     def report(self):
         self.seq += 1
         return {
@@ -519,6 +570,7 @@
     async def watch_lease(self):
         while self.exists:
             await asyncio.sleep(0.1)
+            await self.hung()
             if time.monotonic() - self.lease_from > self.site.facts["workers"]["lease_s"]:
                 self.site.record.line(f"worker {self.name}: lease ended, {len(self.tasks)} tasks killed")
                 self.tasks = {}
