--- a/review/stand-ins-2/src/deploy.rs
+++ b/review/stand-ins-2/src/deploy.rs
@@ -53,7 +53,10 @@
 size = 3
 zones = ["koro", "lomaiviti"]
 clock_error_ms = 100.0
-teams = [{ name = "talanoa", cpus = 0.0, cpus_max = 0.0, gpus = 0.0, gpus_max = 0.0 }]
+teams = [
+  { name = "talanoa", cpus = 0.0, cpus_max = 0.0, gpus = 0.0, gpus_max = 0.0 },
+  { name = "drua-lab", cpus = 0.0, cpus_max = 0.0, gpus = 0.0, gpus_max = 0.0 },
+]
 objectives = [
   { kind = "wait", class = "vuli-live", within_s = 12.0, share = 0.88 },
   { kind = "deadline", class = "sere-render", share = 0.88, times = 1.0 },
@@ -562,3 +565,37 @@
         },
     }
 }
+
+/// `kava-swarm` of the guest team of `vakaloloma-suva`: a tiny check of a clip, with an image of its own, which is named
+/// as registries name images.
+pub fn kava_swarm(number: usize, run_s: f64) -> Job {
+    let digest = format!(
+        "{:016x}",
+        0x9e37_79b9_7f4a_7c15_u64.wrapping_mul(number as u64 + 1)
+    )
+    .repeat(4);
+    Job {
+        id: format!("j-{:06}", 100 + number),
+        takes: 1,
+        lane: "kava-swarm",
+        crew: "drua-lab",
+        shape: "sweep",
+        rank: "normal",
+        rig: "kaukau-rig",
+        spread: false,
+        expect_s: run_s,
+        due_s: None,
+        spec: Spec {
+            cores: 0.08,
+            cards: 0.0,
+            ram: 0.5,
+            reel: format!("registry.example.org/drua-lab/clip-checker-{number:03}@sha256:{digest}"),
+            pull: 0.02,
+            yard: None,
+            loaners: true,
+            mark: 0.0,
+            stow: 0.0,
+            run_s: Some(run_s),
+        },
+    }
+}
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -10,8 +10,8 @@
 mod state;
 
 use deploy::{
-    Deployment, Job, chasqui_live, nan_quito, quillca_batch, sere_render, sigatoka_trails,
-    tapa_chapters, vakaloloma_suva, vuli_live, wait,
+    Deployment, Job, chasqui_live, kava_swarm, nan_quito, quillca_batch, sere_render,
+    sigatoka_trails, tapa_chapters, vakaloloma_suva, vuli_live, wait,
 };
 use record::now;
 use std::process::exit;
@@ -43,6 +43,7 @@
         "start-after-cancel" => start_after_cancel(folder, trouble),
         "hang-and-cloud" => hang_and_cloud(folder, trouble),
         "failed-once" => failed_once(folder, trouble),
+        "many-images" => many_images(folder, trouble),
         "quarantine" => quarantine(folder, trouble),
         "spot-lost" => spot_lost(folder, trouble),
         _ => CouldNotRun("no such case".into()),
@@ -283,6 +284,40 @@
     }
 }
 
+/// One-task jobs come four a second, each with an image of its own. Afterwards a job must run on the machine, which has
+/// room, and the user of the first of them must be told of its end.
+fn many_images(folder: &str, trouble: bool) -> Outcome {
+    let mut site = vakaloloma_suva();
+    // Half of the usual time, so that the jobs wait for the machine together.
+    site.times.boot_s = 18.0;
+    let d = Deployment::start(site, &[("lomaiviti", false, 1)], folder);
+    let p = &d.platform;
+    attempt!(ready(&d));
+    let jobs = if trouble { 75 } else { 1 };
+    for number in 0..jobs {
+        let next = now() + 0.25;
+        let run_s = if number == 0 { 5.0 } else { 300.0 };
+        if !d.submit(number % 3, &kava_swarm(number, run_s)) {
+            return CouldNotRun("a job was not accepted".into());
+        }
+        pause(next - now());
+    }
+    let last = format!("j-{:06}", 100 + jobs - 1);
+    if !wait(20.0, || p.runs(&last)) {
+        return CouldNotRun("the small jobs did not start".into());
+    }
+    // Their worker reports that they run.
+    pause(1.5);
+    if !d.submit(0, &sere_render("j-000001", 4.0)) {
+        return CouldNotRun("the last job was not accepted".into());
+    }
+    let outcome = watch_waiting(&d, "j-000001");
+    let status = d.status(1, "j-000100").unwrap_or_default();
+    let ended_at = p.finished_at("j-000100").unwrap_or_default();
+    rec!("the task of j-000100 completed at {ended_at:.3}; its user is told {status}");
+    outcome
+}
+
 /// The only machine fails what it starts for five seconds. A job that failed there meanwhile must run afterwards.
 fn failed_once(folder: &str, trouble: bool) -> Outcome {
     let d = Deployment::start(vakaloloma_suva(), &[("lomaiviti", false, 1)], folder);
--- a/review/stand-ins-2/src/platform.rs
+++ b/review/stand-ins-2/src/platform.rs
@@ -105,8 +105,8 @@
     last_machine: u64,
     specs: HashMap<String, Spec>,
     started: Vec<Started>,
-    /// Tasks that completed.
-    finished: BTreeSet<String>,
+    /// Tasks that completed, and when.
+    finished: BTreeMap<String, f64>,
     nodes: Vec<(String, SocketAddr)>,
     /// The node that new workers report to first.
     first_node: usize,
@@ -136,7 +136,7 @@
                 last_machine: 0,
                 specs: HashMap::new(),
                 started: Vec::new(),
-                finished: BTreeSet::new(),
+                finished: BTreeMap::new(),
                 nodes: Vec::new(),
                 first_node: 0,
                 cloud_out: false,
@@ -258,11 +258,13 @@
 
     /// Whether task 0 of the job has completed.
     pub fn is_finished(&self, job: &str) -> bool {
-        self.inner
-            .lock()
-            .unwrap()
-            .finished
-            .contains(&format!("{job}/0"))
+        self.finished_at(job).is_some()
+    }
+
+    /// When task 0 of the job completed.
+    pub fn finished_at(&self, job: &str) -> Option<f64> {
+        let inner = self.inner.lock().unwrap();
+        inner.finished.get(&format!("{job}/0")).copied()
     }
 
     /// The names of the machines that are up.
@@ -539,7 +541,12 @@
 }
 
 /// Lets the tasks of a machine go on until `t`.
-fn step(m: &mut Machine, t: f64, specs: &HashMap<String, Spec>, finished: &mut BTreeSet<String>) {
+fn step(
+    m: &mut Machine,
+    t: f64,
+    specs: &HashMap<String, Spec>,
+    finished: &mut BTreeMap<String, f64>,
+) {
     let mut fetched = Vec::new();
     for ((task, attempt), entry) in &mut m.tasks {
         let job = task.split('/').next().unwrap_or_default();
@@ -565,7 +572,7 @@
             }
             TaskState::Running { until: Some(until) } if t >= until => {
                 rec!("worker {}: task {task} try {attempt} is done", m.name);
-                finished.insert(task.clone());
+                finished.entry(task.clone()).or_insert(t);
                 TaskState::Exited {
                     cause: "done",
                     kept: false,
--- a/review/stand-ins-2/src/state.rs
+++ b/review/stand-ins-2/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::http::{Request, serve};
 use crate::json::Json;
+use crate::rec;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::ops::Bound;
@@ -277,11 +278,16 @@
         let size: usize = body.to_string().len();
         let too_large = writes
             .iter()
-            .any(|w| w.get("data").to_string().len() > limits.value_bytes);
+            .find(|w| w.get("data").to_string().len() > limits.value_bytes);
+        if let Some(w) = too_large {
+            let bytes = w.get("data").to_string().len();
+            let key = w.get("write").text().unwrap_or_default();
+            rec!("state: 400 for a transaction: the value of {key} has {bytes} bytes");
+        }
         if writes.len() > limits.txn_ops
             || when.len() > 4 * limits.txn_ops
             || size > 64 * 1024
-            || too_large
+            || too_large.is_some()
         {
             return (400, "{\"error\":\"too large\"}".into());
         }
