--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -14,7 +14,7 @@
 }
 trap end EXIT
 trap 'exit 2' INT TERM
-timeout -k 1 119 target/review-2/release/review-2 many-images "$here/record.txt" "$folder"
+timeout -k 1 119 target/review-2/release/review-2 crash-loop "$here/record.txt" "$folder"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
--- a/review/stand-ins-2/src/deploy.rs
+++ b/review/stand-ins-2/src/deploy.rs
@@ -426,34 +426,6 @@
     }
 }
 
-/// `chasqui-live` of `nan-quito`: a live service of one replica.
-pub fn chasqui_live(id: &str) -> Job {
-    Job {
-        id: id.to_owned(),
-        takes: 1,
-        lane: "chasqui-live",
-        crew: "minga-news",
-        shape: "standing",
-        rank: "critical",
-        rig: "yaku-rack",
-        spread: true,
-        expect_s: 0.0,
-        due_s: None,
-        spec: Spec {
-            cores: 8.0,
-            cards: 1.0,
-            ram: 29.0,
-            reel: "live-01".into(),
-            pull: 0.5,
-            yard: None,
-            loaners: false,
-            mark: 0.0,
-            stow: 0.0,
-            run_s: None,
-        },
-    }
-}
-
 /// `quillca-batch` of `nan-quito`: a batch that may use spot machines and never saves.
 pub fn quillca_batch(id: &str, run_s: f64) -> Job {
     Job {
@@ -566,18 +538,12 @@
     }
 }
 
-/// `kava-swarm` of the guest team of `vakaloloma-suva`: a tiny check of a clip, with an image of its own, which is named
-/// as registries name images.
-pub fn kava_swarm(number: usize, run_s: f64) -> Job {
-    let digest = format!(
-        "{:016x}",
-        0x9e37_79b9_7f4a_7c15_u64.wrapping_mul(number as u64 + 1)
-    )
-    .repeat(4);
+/// A batch of the guest team of `vakaloloma-suva` that needs no accelerators.
+pub fn masi_array(id: &str, run_s: f64) -> Job {
     Job {
-        id: format!("j-{:06}", 100 + number),
+        id: id.to_owned(),
         takes: 1,
-        lane: "kava-swarm",
+        lane: "masi-array",
         crew: "drua-lab",
         shape: "sweep",
         rank: "normal",
@@ -586,13 +552,13 @@
         expect_s: run_s,
         due_s: None,
         spec: Spec {
-            cores: 0.08,
+            cores: 8.0,
             cards: 0.0,
-            ram: 0.5,
-            reel: format!("registry.example.org/drua-lab/clip-checker-{number:03}@sha256:{digest}"),
-            pull: 0.02,
+            ram: 32.0,
+            reel: "archive-01".into(),
+            pull: 0.4,
             yard: None,
-            loaners: true,
+            loaners: false,
             mark: 0.0,
             stow: 0.0,
             run_s: Some(run_s),
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -10,8 +10,8 @@
 mod state;
 
 use deploy::{
-    Deployment, Job, chasqui_live, kava_swarm, nan_quito, quillca_batch, sere_render,
-    sigatoka_trails, tapa_chapters, vakaloloma_suva, vuli_live, wait,
+    Deployment, Job, masi_array, nan_quito, quillca_batch, sere_render, sigatoka_trails,
+    tapa_chapters, vakaloloma_suva, vuli_live, wait,
 };
 use record::now;
 use std::process::exit;
@@ -42,10 +42,9 @@
     let outcome = match case.as_str() {
         "start-after-cancel" => start_after_cancel(folder, trouble),
         "hang-and-cloud" => hang_and_cloud(folder, trouble),
-        "failed-once" => failed_once(folder, trouble),
-        "many-images" => many_images(folder, trouble),
+        "crash-loop" => crash_loop(folder, trouble),
+        "headroom" => headroom(folder, trouble),
         "quarantine" => quarantine(folder, trouble),
-        "spot-lost" => spot_lost(folder, trouble),
         _ => CouldNotRun("no such case".into()),
     };
     let (status, word, why) = match outcome {
@@ -170,6 +169,9 @@
 /// Machines hang just when a job on them is cancelled, and 13 s later the cloud's interface is down for 30 s.
 fn hang_and_cloud(folder: &str, trouble: bool) -> Outcome {
     const CANCEL_S: f64 = 41.0;
+    // TROUBLE=hang and TROUBLE=cloud bring one of the two alone.
+    let only = std::env::var("TROUBLE").unwrap_or_default();
+    let (hangs, cloud_out) = (trouble && only != "cloud", trouble && only != "hang");
     let d = Deployment::start(sigatoka_trails(), &[("sigatoka", false, 5)], folder);
     let p = &d.platform;
     attempt!(ready(&d));
@@ -192,7 +194,7 @@
         p.tasks_of("j-000001").into_iter().map(|(m, _)| m).collect();
     let machines: Vec<String> = machines.into_iter().collect();
     rec!("j-000001 runs on {machines:?}");
-    if trouble {
+    if hangs {
         p.hang(&machines, now() + 60.0);
     }
     let mut confirmed_at = None;
@@ -211,7 +213,9 @@
     };
     if trouble {
         wait(60.0, || now() >= confirmed_at + 13.0);
-        p.set_cloud_out(true);
+        if cloud_out {
+            p.set_cloud_out(true);
+        }
         wait(60.0, || now() >= confirmed_at + CANCEL_S + 0.5);
     } else {
         pause(15.0);
@@ -225,7 +229,9 @@
     let after = now() - confirmed_at;
     if trouble {
         wait(10.0, || now() >= confirmed_at + 42.5);
-        p.set_cloud_out(false);
+        if cloud_out {
+            p.set_cloud_out(false);
+        }
         pause(3.0);
     }
     if left.is_empty() {
@@ -284,72 +290,7 @@
     }
 }
 
-/// One-task jobs come four a second, each with an image of its own. Afterwards a job must run on the machine, which has
-/// room, and the user of the first of them must be told of its end.
-fn many_images(folder: &str, trouble: bool) -> Outcome {
-    let mut site = vakaloloma_suva();
-    // Half of the usual time, so that the jobs wait for the machine together.
-    site.times.boot_s = 18.0;
-    let d = Deployment::start(site, &[("lomaiviti", false, 1)], folder);
-    let p = &d.platform;
-    attempt!(ready(&d));
-    let jobs = if trouble { 75 } else { 1 };
-    for number in 0..jobs {
-        let next = now() + 0.25;
-        let run_s = if number == 0 { 5.0 } else { 300.0 };
-        if !d.submit(number % 3, &kava_swarm(number, run_s)) {
-            return CouldNotRun("a job was not accepted".into());
-        }
-        pause(next - now());
-    }
-    let last = format!("j-{:06}", 100 + jobs - 1);
-    if !wait(20.0, || p.runs(&last)) {
-        return CouldNotRun("the small jobs did not start".into());
-    }
-    // Their worker reports that they run.
-    pause(1.5);
-    if !d.submit(0, &sere_render("j-000001", 4.0)) {
-        return CouldNotRun("the last job was not accepted".into());
-    }
-    let outcome = watch_waiting(&d, "j-000001");
-    let status = d.status(1, "j-000100").unwrap_or_default();
-    let ended_at = p.finished_at("j-000100").unwrap_or_default();
-    rec!("the task of j-000100 completed at {ended_at:.3}; its user is told {status}");
-    outcome
-}
-
-/// The only machine fails what it starts for five seconds. A job that failed there meanwhile must run afterwards.
-fn failed_once(folder: &str, trouble: bool) -> Outcome {
-    let d = Deployment::start(vakaloloma_suva(), &[("lomaiviti", false, 1)], folder);
-    let p = &d.platform;
-    attempt!(ready(&d));
-    attempt!(run_job(&d, 0, &vuli_live("j-000001")));
-    let sick_until = now() + 5.0;
-    if trouble {
-        p.make_sick(sick_until);
-    }
-    let job = sere_render("j-000002", 4.0);
-    if !d.submit(0, &job) {
-        return CouldNotRun("the job was not accepted".into());
-    }
-    if !trouble {
-        wait(20.0, || p.runs("j-000002"));
-        return watch_waiting(&d, "j-000002");
-    }
-    if !wait(4.9, || !p.tasks_of("j-000002").is_empty()) {
-        return CouldNotRun("the job was not started while the machine was sick".into());
-    }
-    wait(10.0, || now() > sick_until + 0.1);
-    rec!("the machine is well again");
-    // Another job shows that the machine takes and completes work.
-    if d.submit(0, &sere_render("j-000003", 2.0)) {
-        let done = wait(20.0, || p.is_finished("j-000003"));
-        rec!("j-000003, submitted after the trouble, was done on that machine: {done}");
-    }
-    watch_waiting(&d, "j-000002")
-}
-
-/// The only machine fails what it starts for five seconds, so that two jobs fail there. A job that is submitted
+/// The only machine fails what it starts for six seconds, so that two jobs fail there. A job that is submitted
 /// afterwards must run there.
 fn quarantine(folder: &str, trouble: bool) -> Outcome {
     let d = Deployment::start(vakaloloma_suva(), &[("lomaiviti", false, 1)], folder);
@@ -376,33 +317,75 @@
     watch_waiting(&d, "j-000004")
 }
 
-/// The cloud takes a spot machine back. A job that ran there may use spot machines, and must run on one that has room,
-/// as no other machine is to be had.
-fn spot_lost(folder: &str, trouble: bool) -> Outcome {
-    let d = Deployment::start(nan_quito(), &[("azuay", false, 1)], folder);
+/// Three machines fail what they start until a job has failed on each of them. Afterwards it must run on one of them,
+/// and the cloud has more machines to give.
+fn crash_loop(folder: &str, trouble: bool) -> Outcome {
+    let d = Deployment::start(
+        sigatoka_trails(),
+        &[("sigatoka", false, 20), ("navosa", false, 20)],
+        folder,
+    );
     let p = &d.platform;
     attempt!(ready(&d));
-    // The ordinary machine is full of live services.
-    attempt!(run_job(&d, 0, &chasqui_live("j-000001")));
-    attempt!(run_job(&d, 0, &chasqui_live("j-000002")));
-    p.set_room("azuay", true, 2);
-    let long = |id: &str| quillca_batch(id, 200.0);
-    attempt!(run_job(&d, 0, &long("j-000003")));
-    attempt!(run_job(&d, 0, &long("j-000004")));
-    attempt!(run_job(&d, 0, &long("j-000005")));
-    let Some((machine, _)) = p.tasks_of("j-000003").first().cloned() else {
-        return CouldNotRun("j-000003 is nowhere".into());
-    };
-    // The leader has to hear that it runs.
-    pause(3.0);
-    p.set_room("azuay", true, 0);
+    // One long task on each of three machines, which leaves room for six processors.
+    let mut long = tapa_chapters("j-000001", 3, 300.0);
+    long.spec.cores = 9.0;
+    if !d.submit(0, &long)
+        || !wait(25.0, || {
+            p.up(false).iter().filter(|m| p.has_task(m)).count() == 3
+        })
+    {
+        return CouldNotRun("the long tasks did not start on three machines".into());
+    }
+    pause(2.5);
+    let machines = p.up(false).len();
+    if trouble {
+        p.make_sick(now() + 60.0);
+    }
+    let mut job = tapa_chapters("j-000002", 1, 5.0);
+    job.spec.cores = 6.0;
+    job.due_s = Some(90.0);
+    if !d.submit(0, &job) {
+        return CouldNotRun("the job was not accepted".into());
+    }
     if trouble {
-        p.take_back(&machine);
+        if !wait(20.0, || p.failed_on("j-000002").len() == 3) {
+            return CouldNotRun("the job did not fail on three machines".into());
+        }
+        p.make_well();
+        // Another job shows that the machines take and complete work.
+        let mut other = tapa_chapters("j-000003", 1, 2.0);
+        other.spec.cores = 6.0;
+        other.due_s = Some(90.0);
+        d.submit(0, &other);
+    }
+    let outcome = watch_waiting(&d, "j-000002");
+    rec!("j-000003 was done: {}", p.is_finished("j-000003"));
+    rec!(
+        "machines up before the trouble: {machines}; up now: {}",
+        p.up(false).len()
+    );
+    outcome
+}
+
+/// The machine of a job without accelerators stops. The job must run on the other machine, which has room.
+fn headroom(folder: &str, trouble: bool) -> Outcome {
+    let room = [("koro", false, 1), ("lomaiviti", false, 1)];
+    let d = Deployment::start(vakaloloma_suva(), &room, folder);
+    let p = &d.platform;
+    attempt!(ready(&d));
+    attempt!(run_job(&d, 0, &vuli_live("j-000001")));
+    attempt!(run_job(&d, 0, &masi_array("j-000002", 300.0)));
+    let Some((machine, _)) = p.tasks_of("j-000002").first().cloned() else {
+        return CouldNotRun("j-000002 is nowhere".into());
+    };
+    if p.tasks_of("j-000001").iter().any(|(m, _)| *m == machine) {
+        return CouldNotRun("both jobs are on one machine".into());
     }
-    let by_machine = p.machine_with_room("j-000003");
-    rec!("machine with room for j-000003: {by_machine:?}");
-    if !trouble {
+    if trouble {
+        p.stop(&machine);
+    } else {
         pause(15.0);
     }
-    watch_waiting(&d, "j-000003")
+    watch_waiting(&d, "j-000002")
 }
--- a/review/stand-ins-2/src/platform.rs
+++ b/review/stand-ins-2/src/platform.rs
@@ -72,6 +72,8 @@
     gone_at: Option<f64>,
     /// Until when it fails every task that it starts.
     sick_until: f64,
+    /// When it stopped on its own.
+    stopped_at: Option<f64>,
     /// Until when it hangs.
     hangs_until: f64,
     /// Earliest time of the next report, where a test sets it; within the bounds of the protocol.
@@ -85,6 +87,8 @@
     changed: bool,
     warning_until: Option<f64>,
     images: BTreeSet<String>,
+    /// Tasks that it failed at their start.
+    failed: BTreeSet<String>,
     tasks: BTreeMap<(String, u64), Task>,
 }
 
@@ -186,28 +190,39 @@
         }
     }
 
+    /// Makes a machine stop with all that is on it. The cloud does not get another one for it.
+    pub fn stop(&self, machine: &str) {
+        let mut inner = self.inner.lock().unwrap();
+        if let Some(m) = inner.machines.get_mut(machine) {
+            rec!("TROUBLE machine {machine} stops with all that is on it");
+            m.stopped_at = Some(now());
+            m.tasks.clear();
+        }
+    }
+
     /// Begins or ends an outage of the cloud's interface.
     pub fn set_cloud_out(&self, out: bool) {
         rec!("TROUBLE the cloud's interface is down: {out}");
         self.inner.lock().unwrap().cloud_out = out;
     }
 
-    /// Takes a spot machine back without notice.
-    pub fn take_back(&self, machine: &str) {
-        let mut inner = self.inner.lock().unwrap();
-        if let Some(m) = inner.machines.get_mut(machine) {
-            rec!("TROUBLE the cloud takes spot machine {machine} back without notice");
-            m.gone_at = Some(now());
+    /// Makes every machine well again.
+    pub fn make_well(&self) {
+        rec!("every machine is well again");
+        for m in self.inner.lock().unwrap().machines.values_mut() {
+            m.sick_until = 0.0;
         }
     }
 
-    /// Sets the number of machines that can still be rented.
-    pub fn set_room(&self, yard: &str, spot: bool, machines: usize) {
-        self.inner
-            .lock()
-            .unwrap()
-            .room
-            .insert((yard.to_owned(), spot), machines);
+    /// The machines that have failed a task of the job at its start.
+    pub fn failed_on(&self, job: &str) -> BTreeSet<String> {
+        let inner = self.inner.lock().unwrap();
+        let prefix = format!("{job}/");
+        let failed = inner
+            .machines
+            .values()
+            .filter(|m| m.failed.iter().any(|t| t.starts_with(&prefix)));
+        failed.map(|m| m.name.clone()).collect()
     }
 
     /// Sets when a worker sends its next report.
@@ -267,6 +282,16 @@
         inner.finished.get(&format!("{job}/0")).copied()
     }
 
+    /// Whether a task runs on the machine.
+    pub fn has_task(&self, machine: &str) -> bool {
+        let inner = self.inner.lock().unwrap();
+        let tasks = inner.machines.get(machine).map(|m| &m.tasks);
+        tasks.is_some_and(|t| {
+            t.values()
+                .any(|t| matches!(t.state, TaskState::Running { .. }))
+        })
+    }
+
     /// The names of the machines that are up.
     pub fn up(&self, spot: bool) -> Vec<String> {
         let inner = self.inner.lock().unwrap();
@@ -284,6 +309,7 @@
                 && m.up_at <= now()
                 && m.sick_until <= now()
                 && m.hangs_until <= now()
+                && m.stopped_at.is_none()
                 && m.warning_until.is_none()
                 && (spec.loaners || !m.loaners)
                 && spec.yard.as_ref().is_none_or(|y| *y == m.yard)
@@ -343,8 +369,10 @@
                 let returned = inner.machines.get_mut(name).filter(|m| m.gone_at.is_none());
                 if let Some(m) = returned {
                     m.gone_at = Some(now());
-                    let pool = (m.yard.clone(), m.loaners);
-                    *inner.room.entry(pool).or_default() += 1;
+                    if m.stopped_at.is_none() {
+                        let pool = (m.yard.clone(), m.loaners);
+                        *inner.room.entry(pool).or_default() += 1;
+                    }
                     rec!("cloud: machine {name} returned");
                 }
             }
@@ -364,7 +392,11 @@
             let mut listed = listed.peekable();
             let mut hosts = Vec::new();
             while let Some(m) = listed.next_if(|_| hosts.len() < usize::min(page, 500)) {
-                let status = if m.up_at <= at { "running" } else { "booting" };
+                let status = match m.stopped_at {
+                    Some(stopped) if stopped + 30.0 <= at => "failed",
+                    _ if m.up_at <= at => "running",
+                    _ => "booting",
+                };
                 hosts.push(Json::obj([
                     ("nameId", Json::str(m.name.as_str())),
                     ("endpoint", Json::str("127.0.0.1:9")),
@@ -422,6 +454,7 @@
             up_at,
             gone_at: None,
             sick_until: 0.0,
+            stopped_at: None,
             hangs_until: 0.0,
             report_at: None,
             watch: 1,
@@ -433,6 +466,7 @@
             changed: true,
             warning_until: None,
             images: BTreeSet::new(),
+            failed: BTreeSet::new(),
             tasks: BTreeMap::new(),
         };
         inner.machines.insert(name.clone(), machine);
@@ -458,7 +492,7 @@
                 return;
             };
             let t = now();
-            if t < m.hangs_until {
+            if t < m.hangs_until || m.stopped_at.is_some() {
                 continue;
             }
             step(m, t, &inner.specs, &mut inner.finished);
@@ -548,12 +582,14 @@
     finished: &mut BTreeMap<String, f64>,
 ) {
     let mut fetched = Vec::new();
+    let mut failed = Vec::new();
     for ((task, attempt), entry) in &mut m.tasks {
         let job = task.split('/').next().unwrap_or_default();
         let next = match entry.state {
             TaskState::Pulling { until } if t >= until => {
                 fetched.push(entry.reel.clone());
                 if t < m.sick_until {
+                    failed.push(task.clone());
                     rec!(
                         "worker {}: task {task} try {attempt} fails at its start",
                         m.name
@@ -588,6 +624,7 @@
         m.changed = true;
     }
     m.images.extend(fetched);
+    m.failed.extend(failed);
 }
 
 fn report_body(p: &Platform, m: &Machine, t: f64) -> (f64, u64, String) {
@@ -637,7 +674,7 @@
     };
     let t = now();
     // A machine that hangs for long has given this answer up when it goes on.
-    if m.watch != watch || t - sent_at > 4.0 || t < m.hangs_until {
+    if m.watch != watch || t - sent_at > 4.0 || t < m.hangs_until || m.stopped_at.is_some() {
         return;
     }
     if warrant > m.warrant {
