--- a/review/stand-ins-2/src/json.rs
+++ b/review/stand-ins-2/src/json.rs
@@ -18,6 +18,10 @@
     pub fn num(n: impl ToString) -> Json {
         Json::Num(n.to_string())
     }
+    /// A decimal number, such as 4.0.
+    pub fn decimal(n: f64) -> Json {
+        Json::Num(format!("{n:?}"))
+    }
     pub fn str(s: impl Into<String>) -> Json {
         Json::Str(s.into())
     }
--- a/review/stand-ins-2/src/platform.rs
+++ b/review/stand-ins-2/src/platform.rs
@@ -350,14 +350,14 @@
             let yards = rig.yards.iter().map(|y| Json::str(*y)).collect();
             let rig = Json::obj([
                 ("label", Json::str(rig.label)),
-                ("cores", Json::num(rig.cores)),
-                ("cards", Json::num(rig.cards)),
-                ("ramGb", Json::num(rig.ram)),
-                ("localGb", Json::num(100.0)),
-                ("fetchGbPerS", Json::num(rig.fetch)),
-                ("rate", Json::num(rig.rate)),
-                ("lowPrice", Json::num(rig.low_price)),
-                ("bootS", Json::num(rig.boot_s)),
+                ("cores", Json::decimal(rig.cores)),
+                ("cards", Json::decimal(rig.cards)),
+                ("ramGb", Json::decimal(rig.ram)),
+                ("localGb", Json::decimal(100.0)),
+                ("fetchGbPerS", Json::decimal(rig.fetch)),
+                ("rate", Json::decimal(rig.rate)),
+                ("lowPrice", Json::decimal(rig.low_price)),
+                ("bootS", Json::decimal(rig.boot_s)),
                 ("yards", Json::Arr(yards)),
             ]);
             (200, Json::obj([("rigs", Json::Arr(vec![rig]))]).to_string())
@@ -404,7 +404,7 @@
                     ("yard", Json::str(m.yard.as_str())),
                     ("loaners", Json::Bool(m.loaners)),
                     ("status", Json::str(status)),
-                    ("ageS", Json::num(at - m.created_at)),
+                    ("ageS", Json::decimal(at - m.created_at)),
                 ]));
             }
             let more = Json::Bool(listed.peek().is_some());
@@ -460,7 +460,7 @@
             watch: 1,
             tally: 0,
             warrant: 0,
-            warrant_changed_at: 0.0,
+            warrant_changed_at: f64::NEG_INFINITY,
             answered_sent_at: up_at,
             sent_at: 0.0,
             changed: true,
@@ -646,7 +646,7 @@
     let takes = Json::Arr(takes.collect());
     let warning = m
         .warning_until
-        .map_or(Json::Null, |w| Json::num((w - t).max(0.0)));
+        .map_or(Json::Null, |w| Json::decimal((w - t).max(0.0)));
     let body = Json::obj([
         ("host", Json::str(m.name.as_str())),
         ("endpoint", Json::str("127.0.0.1:9")),
