--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -166,7 +166,7 @@
     }
 }
 
-/// Machines hang just when a job on them is cancelled, and 13 s later the cloud's interface is down for 30 s.
+/// Machines hang just when a job on them is cancelled, and 12 s later the cloud's interface is down for 29.5 s.
 fn hang_and_cloud(folder: &str, trouble: bool) -> Outcome {
     const CANCEL_S: f64 = 41.0;
     // TROUBLE=hang and TROUBLE=cloud bring one of the two alone.
@@ -212,11 +212,11 @@
         return Held("the user was not told yet that the job is cancelled".into());
     };
     if trouble {
-        wait(60.0, || now() >= confirmed_at + 13.0);
+        wait(60.0, || now() >= confirmed_at + 12.2);
         if cloud_out {
             p.set_cloud_out(true);
         }
-        wait(60.0, || now() >= confirmed_at + CANCEL_S + 0.5);
+        wait(60.0, || now() >= confirmed_at + CANCEL_S + 0.2);
     } else {
         pause(15.0);
     }
@@ -228,7 +228,7 @@
         .collect();
     let after = now() - confirmed_at;
     if trouble {
-        wait(10.0, || now() >= confirmed_at + 42.5);
+        wait(10.0, || now() >= confirmed_at + 41.7);
         if cloud_out {
             p.set_cloud_out(false);
         }
