Pin histories of runs in which no user cancels a job

A change of when a cancellation is answered changes every history with one: it moves bytes and virtual times. Eight scenarios without cancellations, three seeds each, made by the untouched code, show what such a change must keep. The digests of histories.txt are as they were.

--- a/tests/pinned_histories.rs
+++ b/tests/pinned_histories.rs
@@ -3,6 +3,8 @@
 //! For each scenario and seed, the digests cover all bytes on the simulated network except Date headers, with their
 //! virtual times, all changes of stored keys, and the keys at the end. `fixtures/pinned/histories.txt` holds the
 //! digests as released and is never regenerated: a change of the code that keeps the behaviour keeps every digest.
+//! `histories_without_cancellations.txt` does the same for scenarios in which no user cancels a job, so that a change
+//! of how cancellations are answered can be shown to change nothing else.
 
 mod support;
 
@@ -13,7 +15,12 @@
     CANCEL_S, Deployment, Loss, Provisioning, STATE, World, job, machine_host, node_host, with,
 };
 
-const FIXTURE: &str = include_str!("fixtures/pinned/histories.txt");
+const FIXTURES: [&str; 2] = [
+    include_str!("fixtures/pinned/histories.txt"),
+    include_str!("fixtures/pinned/histories_without_cancellations.txt"),
+];
+/// Fraction of the jobs that users cancel, in the scenarios with cancellations.
+const CANCEL_RATE: f64 = 0.3;
 const SEEDS: std::ops::Range<u64> = 1..4;
 
 /// Runs a scenario with a seed and returns its line as in the fixture.
@@ -45,13 +52,20 @@
     let histories = SEEDS.map(|seed| history(name, seed, deployment.clone(), &events));
     let histories: Vec<String> = histories.inspect(|line| println!("{line}")).collect();
     let is_of_scenario = |line: &&str| line.split(' ').next() == Some(name);
-    let expected: Vec<&str> = FIXTURE.lines().filter(is_of_scenario).collect();
+    let lines = FIXTURES.iter().flat_map(|fixture| fixture.lines());
+    let expected: Vec<&str> = lines.filter(is_of_scenario).collect();
     assert_eq!(histories, expected);
 }
 
-/// Starts users who submit 24 jobs within half a minute and cancel about 30 % of them, and runs the first 14 s.
+/// Starts users who submit 24 jobs within half a minute and cancel some of them, and runs the first 14 s.
 fn run_user_traffic(w: &Rc<World>) {
-    w.traffic("a", 24, 1.2, 0.3, |id| {
+    run_user_traffic_with(w, CANCEL_RATE);
+}
+
+/// Starts users who submit 24 jobs within half a minute and cancel the fraction `cancel_rate` of them, and runs the
+/// first 14 s.
+fn run_user_traffic_with(w: &Rc<World>, cancel_rate: f64) {
+    w.traffic("a", 24, 1.2, cancel_rate, |id| {
         let tasks = 1 + id.len() as u32 % 3 + u32::from(id.ends_with(['0', '5']));
         job(id, tasks, 12.0)
     });
@@ -297,3 +311,84 @@
         w.assert_recovers(200.0);
     });
 }
+
+/// Compares a scenario in which no user cancels a job: 14 s of user traffic, then the faults.
+fn assert_pinned_without_cancellations(
+    name: &str,
+    deployment: &Deployment,
+    faults: impl Fn(&Rc<World>),
+) {
+    assert_pinned(name, deployment, |w| {
+        run_user_traffic_with(w, 0.0);
+        faults(w);
+        w.assert_recovers(200.0);
+    });
+}
+
+#[test]
+fn runs_without_cancellations_keep_their_history() {
+    let deployment = Deployment::default();
+    assert_pinned_without_cancellations("quiet_uncancelled", &deployment, |_| ());
+    assert_pinned_without_cancellations("slow_uncancelled", &deployment, |w| {
+        w.duplicate_rate.set(0.2);
+        w.state_faults.borrow_mut().extra_latency_s = 0.6;
+        w.run(15.0);
+        w.duplicate_rate.set(0.0);
+        w.state_faults.replace(Default::default());
+    });
+}
+
+#[test]
+fn controller_failures_without_cancellations_keep_their_history() {
+    let deployment = Deployment::default();
+    assert_pinned_without_cancellations("leader_ends_uncancelled", &deployment, |w| {
+        let leader = w.await_leader();
+        w.kill_node(leader);
+        w.run(3.0);
+        w.start_node(leader);
+    });
+    assert_pinned_without_cancellations("full_restart_uncancelled", &deployment, |w| {
+        (0..3).for_each(|node| w.kill_node(node));
+        w.run(4.0);
+        (0..3).for_each(|node| w.start_node(node));
+    });
+    let five = Deployment {
+        nodes: 5,
+        ..Deployment::default()
+    };
+    assert_pinned_without_cancellations("five_controllers_uncancelled", &five, |w| {
+        for _ in 0..4 {
+            let leader = w.await_leader();
+            w.kill_node(leader);
+            w.run(5.0);
+            w.start_node(leader);
+        }
+    });
+}
+
+#[test]
+fn partitions_and_outages_without_cancellations_keep_their_history() {
+    let deployment = Deployment::default();
+    assert_pinned_without_cancellations("zone_cut_uncancelled", &deployment, |w| {
+        let (inside, outside) = (w.zone_hosts("z1"), w.hosts_outside_zone("z1"));
+        w.set_partition(&inside, &outside, true);
+        w.run(20.0);
+        w.set_partition(&inside, &outside, false);
+    });
+    assert_pinned_without_cancellations("state_service_uncancelled", &deployment, |w| {
+        w.set_node_refused(w.await_leader(), true);
+        w.run(8.0);
+        w.set_state_outage(true);
+        w.run(12.0);
+        w.state_faults.replace(Default::default());
+        w.set_state_outage(false);
+    });
+    assert_pinned_without_cancellations("paused_uncancelled", &deployment, |w| {
+        w.cloud_unavailable.set(true);
+        for machine in w.running_machines().iter().take(2) {
+            w.sim.pause(machine_host(machine), 18.0);
+        }
+        w.run(20.0);
+        w.cloud_unavailable.set(false);
+    });
+}
