Keep exited attempts at workers, so that late copies of their starts have no effect

Callers saw, on another service: a task on two machines at once, and a cancelled task that ran again, after a late copy of a start command that had been executed and acknowledged. It can happen here: each attempt that was stopped, moved or refused was cleared with the next response, and a worker that has cleared an attempt executes its start once more.

Change: ExitedAttempts. An attempt that did not complete stays in the worker's heartbeats until the next leader, whose higher token makes the worker drop the copy; 64 a machine at most. Completed ones are cleared as before, as a further start of theirs ends at once. Machines are scaled in whether or not such attempts are left on them.

--- a/src/scheduler/commands.rs
+++ b/src/scheduler/commands.rs
@@ -100,9 +100,9 @@
         response.into_commands()
     }
 
-    /// Clears exited tasks that the worker may remove from its heartbeats.
+    /// Clears exited attempts that the worker may remove from its heartbeats.
     fn clear_exited(&self, m: &Machine, response: &mut HeartbeatResponse) {
-        for (task, attempt) in &m.exited {
+        for (task, attempt) in m.exited.clearable() {
             // A completion must be written before the worker removes it from its heartbeats.
             let written = self.jobs.get(&task.job).is_none_or(|j| {
                 j.end.is_some() || !j.is_finished(task.index) || j.is_finish_committed(task.index)
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -321,7 +321,7 @@
             let Some(since) = m.idle_since else { continue };
             // The results of exited tasks must be stored before the machine is terminated.
             if !m.is_empty()
-                || !m.exited.is_empty()
+                || !m.exited.clearable().is_empty()
                 || now.since(m.last_contact) > self.config.heartbeat_interval.scaled(2, 1)
             {
                 continue;
--- a/src/scheduler/machine.rs
+++ b/src/scheduler/machine.rs
@@ -1,5 +1,6 @@
 //! The leader's in-memory state of a machine: its resources, the tasks on it and its contact with the leader.
 
+use super::exited_attempts::ExitedAttempts;
 use super::job_spec::Priority;
 use super::messages::{TaskState, TaskStatusIndex};
 use crate::ids::{JobId, TaskId};
@@ -52,8 +53,8 @@
     reserved_by_priority: BTreeMap<Priority, Resources>,
     /// Tasks reported by it that have no placement there, with their attempts and resources.
     pub unexpected_tasks: BTreeMap<(TaskId, u64), Resources>,
-    /// Exited tasks in its newest heartbeat, with their attempts, that the worker has yet to clear.
-    pub exited: Vec<(TaskId, u64)>,
+    /// Exited attempts in its newest heartbeat that have no placement there.
+    pub exited: ExitedAttempts,
     /// Lifecycle state.
     pub state: MachineState,
     /// Time when suspicion of it was last suppressed because of a partition or a pause of the leader's process; zero if
@@ -137,7 +138,7 @@
             reserved: BTreeMap::new(),
             reserved_by_priority: BTreeMap::new(),
             unexpected_tasks: BTreeMap::new(),
-            exited: Vec::new(),
+            exited: ExitedAttempts::default(),
             state: MachineState::Provisioning,
             provisioned_at: now,
             newest_heartbeat: None,
@@ -232,9 +233,9 @@
     }
 
     /// Returns the number of tasks that its next heartbeat will contain: placed tasks, unexpected tasks and exited
-    /// tasks that are not cleared yet.
+    /// attempts that are not cleared.
     pub fn reported_tasks(&self) -> usize {
-        self.reserved.len() + self.unexpected_tasks.len() + self.exited.len()
+        self.reserved.len() + self.unexpected_tasks.len() + self.exited.count()
     }
 
     /// Returns whether no placed or unexpected tasks are on it.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod commands;
 mod consolidation;
 mod events;
+mod exited_attempts;
 mod failure_attribution;
 mod failure_detection;
 mod fair_share;
--- a/src/scheduler/reconciliation.rs
+++ b/src/scheduler/reconciliation.rs
@@ -9,10 +9,10 @@
 use crate::ids::{MachineId, TaskId};
 use crate::units::Micros;
 use ravenhead_recovery::{
-    HeartbeatContext, JobState, RecordedVerdict, Resolution, UnrecordedTask, UnrecordedVerdict,
-    reconcile_recorded, reconcile_unrecorded,
+    HeartbeatContext, JobState, RecordedVerdict, ReportedState, Resolution, UnrecordedTask,
+    UnrecordedVerdict, reconcile_recorded, reconcile_unrecorded,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Delay before a job is offered again after a worker rejected a start.
 const START_REFUSED_BACKOFF: Micros = Micros::secs(1);
@@ -178,7 +178,8 @@
     /// Reconciles reported tasks that are not placed on the machine with that attempt: stale attempts, unknown tasks,
     /// and tasks that ended earlier. Returns whether anything must be written or offered.
     pub(super) fn reconcile_unplaced(&mut self, heartbeat: &Heartbeat, now: Micros) -> bool {
-        let mut exited = Vec::new();
+        let mut completed = Vec::new();
+        let mut ended = BTreeSet::new();
         let mut unexpected = BTreeMap::new();
         let mut changed = false;
         for t in &heartbeat.tasks {
@@ -201,9 +202,14 @@
                 UnrecordedVerdict::FinishedUnwritten => {
                     self.finish(&task.job, task.index);
                     changed = true;
-                    exited.push((task, t.attempt));
+                    completed.push((task, t.attempt));
+                }
+                UnrecordedVerdict::Ended if t.reported_state() == ReportedState::Completed => {
+                    completed.push((task, t.attempt));
+                }
+                UnrecordedVerdict::Ended => {
+                    ended.insert((task, t.attempt));
                 }
-                UnrecordedVerdict::Ended => exited.push((task, t.attempt)),
                 UnrecordedVerdict::Adopted => {
                     // Any placement recorded for the task has a lower attempt, which had left its machine before this
                     // attempt was assigned.
@@ -235,7 +241,11 @@
         for resources in m.unexpected_tasks.values() {
             m.used += *resources;
         }
-        m.exited = exited;
+        let reported = heartbeat.tasks.iter();
+        let reported = reported.filter_map(|t| Some((TaskId::parse(&t.task)?, t.attempt)));
+        let has_leader_token = heartbeat.token == self.token;
+        m.exited
+            .update(reported, completed, ended, has_leader_token);
         changed
     }
 
--- a/tests/support/sim.rs
+++ b/tests/support/sim.rs
@@ -226,6 +226,14 @@
         self.hosts.borrow().get(&host).map_or(0, |h| h.total_pause)
     }
 
+    /// Returns whether a host is paused.
+    pub fn is_paused(&self, host: HostId) -> bool {
+        let hosts = self.hosts.borrow();
+        hosts
+            .get(&host)
+            .is_some_and(|h| h.paused_until > self.now())
+    }
+
     /// Blocks or reopens a link in one direction. Data sent while it is blocked is delivered once it reopens.
     pub fn block(&self, from: HostId, to: HostId, blocked: bool) {
         let mut blocked_links = self.blocked.borrow_mut();
