Let other controllers terminate what the leader can't, where cancelled tasks are left

Cause: the other controllers left the machine to the leader as long as it answered pings, whether or not it reached the cloud.

Change: from 7/10 of cancel_s on every controller terminates machines that an up-to-date view still shows with tasks of a cancelled job, and takes the cloud's answer as proof, as the leader does. Without a leader it goes by what it heard, as before. A refused request ends the round, so that a cloud that is down is asked once a second, not once a batch.

--- a/src/cancellation.rs
+++ b/src/cancellation.rs
@@ -32,16 +32,24 @@
     Possible,
     /// One heartbeat, at this position, reported no active task of the job.
     AbsentInOneHeartbeat(HeartbeatPosition),
-    /// No task of the job is left.
+    /// Two heartbeats reported no active task of the job, to this or another controller, or another controller had the
+    /// machine terminated.
     Cleared,
+    /// The cloud confirmed to this controller that the machine is terminated.
+    Terminated,
 }
 
 impl Residue {
+    /// Returns whether tasks may still run.
+    fn is_left(self) -> bool {
+        !matches!(self, Residue::Cleared | Residue::Terminated)
+    }
+
     /// Returns the state after a heartbeat at position `at`. `is_active` tells whether it reports active tasks of the
     /// job.
     fn after(self, at: HeartbeatPosition, is_active: bool) -> Residue {
         match self {
-            Residue::Cleared => Residue::Cleared,
+            Residue::Cleared | Residue::Terminated => self,
             _ if is_active => Residue::Possible,
             Residue::Possible => Residue::AbsentInOneHeartbeat(at),
             Residue::AbsentInOneHeartbeat(first_at) if at > first_at => Residue::Cleared,
@@ -211,19 +219,43 @@
         }
     }
 
-    /// Records machines that run no more tasks of cancelled jobs, as another controller reports them or because they
-    /// were terminated.
+    /// Records machines that run no more tasks of cancelled jobs, as another controller reports them.
     pub fn on_residue_cleared(&mut self, cleared: &[ResidueCleared], unix_time: u64) {
         for cleared in cleared {
-            let entry = self.entries.get_mut(&cleared.job);
-            let residue = entry.and_then(|entry| entry.machines.get_mut(&cleared.machine));
-            if let Some(residue) = residue.filter(|r| **r != Residue::Cleared) {
-                *residue = Residue::Cleared;
-                self.record_cleared(cleared.clone(), unix_time);
+            if self
+                .residue_mut(cleared)
+                .is_some_and(|residue| residue.is_left())
+            {
+                self.set_cleared(cleared, Residue::Cleared, unix_time);
             }
         }
     }
 
+    /// Records machines with tasks of cancelled jobs that the cloud confirmed to be terminated.
+    pub fn on_terminated(&mut self, terminated: &[ResidueCleared], unix_time: u64) {
+        for residue in terminated {
+            self.set_cleared(residue, Residue::Terminated, unix_time);
+        }
+    }
+
+    fn residue_mut(&mut self, residue: &ResidueCleared) -> Option<&mut Residue> {
+        let entry = self.entries.get_mut(&residue.job)?;
+        entry.machines.get_mut(&residue.machine)
+    }
+
+    fn set_cleared(&mut self, cleared: &ResidueCleared, state: Residue, unix_time: u64) {
+        if let Some(residue) = self.residue_mut(cleared) {
+            *residue = state;
+            self.record_cleared(cleared.clone(), unix_time);
+        }
+    }
+
+    /// Returns whether the cloud confirmed to this controller that a machine with tasks of a cancelled job is terminated.
+    pub fn is_terminated(&self, job: &JobId, machine: &MachineId) -> bool {
+        let residue = self.entries.get(job).and_then(|e| e.machines.get(machine));
+        residue == Some(&Residue::Terminated)
+    }
+
     /// Returns a cursor for reading the cleared machines that are found after this call.
     pub fn residue_cleared_cursor(&self) -> Cursor {
         self.cleared.end()
@@ -239,13 +271,29 @@
     /// Returns the pairs of job and machine where tasks may still run although the job was cancelled longer ago than
     /// `grace_period`.
     pub fn overdue(&self, unix_time: u64, grace_period: Micros) -> Vec<ResidueCleared> {
+        self.overdue_if(unix_time, grace_period, Residue::is_left)
+    }
+
+    /// Returns the pairs of job and machine where the job was cancelled longer ago than `grace_period`, whatever
+    /// heartbeats report, except machines that the cloud confirmed to be terminated.
+    pub fn unterminated(&self, unix_time: u64, grace_period: Micros) -> Vec<ResidueCleared> {
+        let is_unterminated = |residue: Residue| residue != Residue::Terminated;
+        self.overdue_if(unix_time, grace_period, is_unterminated)
+    }
+
+    fn overdue_if(
+        &self,
+        unix_time: u64,
+        grace_period: Micros,
+        is_included: impl Fn(Residue) -> bool,
+    ) -> Vec<ResidueCleared> {
         let is_overdue = |entry: &CancellationEntry| {
             unix_time > entry.committed_at.saturating_add(grace_period.0)
         };
         let overdue = self.entries.iter().filter(|(_, entry)| is_overdue(entry));
         let residue = overdue.flat_map(|(job, entry)| {
             let machines = entry.machines.iter();
-            let residue = machines.filter(|(_, residue)| **residue != Residue::Cleared);
+            let residue = machines.filter(|(_, residue)| is_included(**residue));
             residue.map(|(machine, _)| ResidueCleared {
                 job: job.clone(),
                 machine: machine.clone(),
--- a/src/cancellation/service.rs
+++ b/src/cancellation/service.rs
@@ -20,6 +20,10 @@
 const ACKNOWLEDGE_TIMEOUT: Micros = Micros::millis(500);
 /// Interval between checks whether the tasks of a cancelled job are proven to be off their machines.
 const PROOF_CHECK_INTERVAL: Micros = Micros::millis(100);
+/// Log value: a leader can be reached, but cancelled tasks are left on machines that it should have terminated.
+const LEFT_BY_LEADER: &str = "cancelled_tasks_left_by_leader";
+/// Log value: no leader can be reached that would terminate machines on which cancelled tasks are left.
+const LEFT_WITHOUT_LEADER: &str = "cancelled_tasks_left_without_leader";
 /// Interval between checks for machines that have to be terminated because of cancelled tasks.
 const RESIDUE_CHECK_INTERVAL: Micros = Micros::secs(1);
 
@@ -174,11 +178,14 @@
     }
 
     /// Returns whether the tasks of a cancelled job are proven to be off their machines. The leader removes a placement
-    /// only on such proof, so a view without placements of the job proves it. If the key-value store can't be reached to
-    /// remove them, the leader's own placements do as well.
+    /// only on such proof, so a view in which the job has placements only on machines that this controller had terminated
+    /// proves it. If the key-value store can't be reached to remove them, the leader's own placements do as well.
     fn is_proven(&self, job: &JobId) -> bool {
-        !self.store.view.borrow().has_placements(job)
-            || self.registry.borrow().is_confirmed(job)
+        let registry = self.registry.borrow();
+        let view = self.store.view.borrow();
+        let is_terminated = |machine: &MachineId| registry.is_terminated(job, machine);
+        registry.is_confirmed(job)
+            || view.placed_on(job).all(is_terminated)
             || !self.store.reachable() && self.is_proven_by_own_term(job)
     }
 
@@ -233,11 +240,10 @@
         }
     }
 
-    /// Periodically terminates machines on which cancelled tasks may still run, as long as no leader can be reached to
-    /// do it.
+    /// Periodically terminates machines on which cancelled tasks may still run for too long.
     ///
     /// Covers cancellations whose leader has exited or crashed, or is partitioned from all other controllers, while the
-    /// key-value store prevents the election of a successor.
+    /// key-value store prevents the election of a successor, and leaders that can't reach the cloud.
     pub async fn terminate_overdue_machines(&self) {
         loop {
             sleep(RESIDUE_CHECK_INTERVAL).await;
@@ -245,39 +251,58 @@
             self.registry
                 .borrow_mut()
                 .remove_expired(unix_time, self.cancel_limit.scaled(2, 1));
-            // A leader without a lease that reaches no other controller does not count as the leader here: another one
-            // may lead by then.
-            if self.membership.leader_reachable() && !self.membership.is_isolated() {
+            if self.membership.is_leading() && !self.membership.is_isolated() {
                 continue;
             }
-            let overdue = self
-                .registry
-                .borrow()
-                .overdue(unix_time, self.cancel_limit.scaled(7, 10));
-            let residue = retain_recorded(&self.store.view.borrow(), overdue);
-            self.terminate(&residue, unix_time).await;
+            // A leader without a lease that reaches no other controller does not count as the leader here: another one
+            // may lead by then.
+            let has_leader = self.membership.leader_reachable() && !self.membership.is_isolated();
+            let (residue, reason) = if has_leader {
+                (self.left_by_leader(unix_time), LEFT_BY_LEADER)
+            } else {
+                (self.left_without_leader(unix_time), LEFT_WITHOUT_LEADER)
+            };
+            self.terminate(&residue, unix_time, reason).await;
+        }
+    }
+
+    /// Returns the overdue pairs of job and machine while no leader can be reached.
+    fn left_without_leader(&self, unix_time: u64) -> Vec<ResidueCleared> {
+        let grace_period = self.cancel_limit.scaled(7, 10);
+        let overdue = self.registry.borrow().overdue(unix_time, grace_period);
+        retain_recorded(&self.store.view.borrow(), overdue)
+    }
+
+    /// Returns the overdue pairs of job and machine that a reachable leader should have terminated by now: its way to the
+    /// cloud may be interrupted. Only an up-to-date view shows what the leader has proof of.
+    fn left_by_leader(&self, unix_time: u64) -> Vec<ResidueCleared> {
+        let view = self.store.view.borrow();
+        if !view.loaded || !self.store.reachable() {
+            return Vec::new();
         }
+        let grace_period = self.cancel_limit.scaled(7, 10);
+        let overdue = self.registry.borrow().unterminated(unix_time, grace_period);
+        retain_recorded(&view, overdue)
     }
 
-    async fn terminate(&self, residue: &[ResidueCleared], unix_time: u64) {
+    async fn terminate(&self, residue: &[ResidueCleared], unix_time: u64, reason: &str) {
         let machines: BTreeSet<MachineId> = residue.iter().map(|r| r.machine.clone()).collect();
         let machines: Vec<MachineId> = machines.into_iter().collect();
         for batch in machines.chunks(MAX_MACHINES_PER_TERMINATION) {
-            match self.cloud.terminate(batch).await {
-                Ok(()) => {
-                    info!(
-                        "event=machines_terminated count={} why=cancelled_tasks_left_without_leader",
-                        batch.len()
-                    );
-                    let terminated: HashSet<&MachineId> = batch.iter().collect();
-                    let cleared = residue.iter().filter(|r| terminated.contains(&r.machine));
-                    let cleared: Vec<ResidueCleared> = cleared.cloned().collect();
-                    self.registry
-                        .borrow_mut()
-                        .on_residue_cleared(&cleared, unix_time);
-                }
-                Err(e) => debug!("event=termination_failed error={:?}", e.to_string()),
+            if let Err(e) = self.cloud.terminate(batch).await {
+                debug!("event=termination_failed error={:?}", e.to_string());
+                return;
             }
+            info!(
+                "event=machines_terminated count={} why={reason}",
+                batch.len()
+            );
+            let terminated: HashSet<&MachineId> = batch.iter().collect();
+            let residue = residue.iter().filter(|r| terminated.contains(&r.machine));
+            let residue: Vec<ResidueCleared> = residue.cloned().collect();
+            self.registry
+                .borrow_mut()
+                .on_terminated(&residue, unix_time);
         }
     }
 }
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -99,17 +99,15 @@
         })
     }
 
-    /// Returns whether any task of a job is placed on a machine.
-    pub fn has_placements(&self, id: &JobId) -> bool {
-        let mut chunks = self.chunks.get(id).into_iter().flat_map(|c| c.values());
-        chunks.any(|chunk| !chunk.value.live.is_empty())
+    /// Returns the machine of each placed task of a job.
+    pub fn placed_on(&self, id: &JobId) -> impl Iterator<Item = &MachineId> {
+        let chunks = self.chunks.get(id).into_iter().flat_map(|c| c.values());
+        chunks.flat_map(|c| c.value.live.iter().map(|(_, machine, _)| machine))
     }
 
     /// Returns the machines on which tasks of a job are placed, in ascending order and without duplicates.
     pub fn machines_of(&self, id: &JobId) -> Vec<MachineId> {
-        let chunks = self.chunks.get(id).into_iter().flat_map(|c| c.values());
-        let placed = chunks.flat_map(|c| c.value.live.iter().map(|(_, machine, _)| machine));
-        let machines: BTreeSet<&MachineId> = placed.collect();
+        let machines: BTreeSet<&MachineId> = self.placed_on(id).collect();
         machines.into_iter().cloned().collect()
     }
 
