Checker: know a submission by its kind, so that 400 or 422 to a repeated one is reported

The simulated users record a request as submit@<controller>, and the checker compared the whole with submit: 400 or 422 to the repeated submission of an accepted job was never reported as forgotten in scenarios, and 404 to it was.

--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -143,7 +143,7 @@
         "the request preceded the acceptance"
     );
     checker.record_response(30, 20, "poll", "j-1", 404, "");
-    checker.record_response(31, 20, "submit", "j-1", 422, "");
+    checker.record_response(31, 20, "submit@2", "j-1", 422, "");
     checker.record_response(32, 20, "poll", "j-9", 200, "pending");
     assert_eq!(
         violated_rules(&checker),
--- a/tests/support/invariants.rs
+++ b/tests/support/invariants.rs
@@ -97,7 +97,8 @@
         self.jobs.entry(id.to_owned()).or_default().cancel_requested = true;
     }
 
-    /// Records and checks a response to a user's request of the kind `request`, which was sent at `since`.
+    /// Records and checks a response to a user's request, which was sent at `since`. `request` is its kind, which may be
+    /// followed by `@` and the controller.
     pub fn record_response(
         &mut self,
         now: u64,
@@ -114,12 +115,13 @@
             }
             return;
         };
+        let is_submission = request.split('@').next() == Some("submit");
         let was_accepted = job.accepted_at.is_some_and(|at| at <= since);
-        if status == 404 && request != "submit" && was_accepted {
+        if status == 404 && !is_submission && was_accepted {
             self.record_violation(now, "forgotten", format!("{request} {id}: 404"));
             return;
         }
-        if (status == 400 || status == 422) && request == "submit" && was_accepted {
+        if (status == 400 || status == 422) && is_submission && was_accepted {
             self.record_violation(now, "forgotten", format!("submit {id}: {status}"));
             return;
         }
