Cancellations: the termination of overdue machines as a type of its own

CancellationService notified controllers, answered users and terminated machines, with the cloud's client and the time limit for the last alone. OverdueTerminator now does that in termination.rs; both share the registry. A test shows that only the cloud's answer counts as a termination.

--- a/src/cancellation.rs
+++ b/src/cancellation.rs
@@ -6,8 +6,10 @@
 //! be off their machines.
 
 mod service;
+mod termination;
 
 pub use service::CancellationService;
+pub use termination::OverdueTerminator;
 
 use crate::peer::{Cancellation, ResidueCleared};
 use crate::scheduler::{Heartbeat, JobId, MachineId, TaskState};
--- a/src/cancellation/tests.rs
+++ b/src/cancellation/tests.rs
@@ -1,6 +1,6 @@
 use super::{Cancellations, MAX_CANCELLATION_BYTES, MAX_CLEARED_PER_MESSAGE};
 use crate::fencing::FencingToken;
-use crate::peer::Cancellation;
+use crate::peer::{Cancellation, ResidueCleared};
 use crate::scheduler::TaskStatus;
 use crate::scheduler::{Heartbeat, JobId, MachineId, TaskState};
 use crate::units::Micros;
@@ -113,6 +113,27 @@
     );
 }
 
+// Guards against heartbeats or another controller's report being taken for the cloud's confirmation.
+#[test]
+fn only_machines_that_the_cloud_confirmed_count_as_terminated() {
+    let mut cancellations = Cancellations::default();
+    cancellations.insert(&cancellation(1, 0..3));
+    let job = JobId("j-000001".into());
+    let of_machine = |n| ResidueCleared {
+        job: job.clone(),
+        machine: machine(n),
+    };
+    cancellations.on_residue_cleared(&[of_machine(0), of_machine(1)], AFTER_DELIVERY_TIMEOUT_US);
+    cancellations.on_terminated(&[of_machine(1)], AFTER_DELIVERY_TIMEOUT_US);
+    let terminated = |n| cancellations.is_terminated(&job, &machine(n));
+    assert_eq!([0, 1, 2].map(terminated), [false, true, false]);
+    let grace_period = Micros::secs(1);
+    let overdue = cancellations.overdue(AFTER_DELIVERY_TIMEOUT_US, grace_period);
+    assert_eq!(overdue, [of_machine(2)]);
+    let unterminated = cancellations.unterminated(AFTER_DELIVERY_TIMEOUT_US, grace_period);
+    assert_eq!(unterminated, [of_machine(0), of_machine(2)]);
+}
+
 // Guards against a message that is too long for a frame, and against a cancellation that is never sent.
 #[test]
 fn all_cancellations_are_sent_in_messages_of_bounded_size() {
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -10,7 +10,7 @@
 use crate::api::peers::PeerApi;
 use crate::api::users::UserApi;
 use crate::api::workers::WorkerApi;
-use crate::cancellation::CancellationService;
+use crate::cancellation::{CancellationService, Cancellations, OverdueTerminator};
 use crate::clock::Clock;
 use crate::config::{Platform, Settings};
 use crate::connections::Connections;
@@ -21,6 +21,7 @@
 use crate::peer_pinger::PeerPinger;
 use crate::state_loss::StateLossRecovery;
 use crate::units::Micros;
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use parts::SharedParts;
@@ -32,7 +33,7 @@
 pub struct Controller {
     shared: SharedParts,
     connections: Rc<Connections>,
-    cancellations: Rc<CancellationService>,
+    overdue_terminator: OverdueTerminator,
     contacts: Rc<ContactTracker>,
     state_loss: Rc<StateLossRecovery>,
     leader: Leader,
@@ -46,7 +47,8 @@
     /// Creates a controller, which does nothing until it is passed to [`run`].
     pub fn new(platform: Platform, settings: Settings) -> Controller {
         let shared = SharedParts::new(platform, settings);
-        let cancellations = Rc::new(cancellations(&shared));
+        let registry = Rc::default();
+        let cancellations = Rc::new(cancellations(&shared, &registry));
         let contacts = Rc::new(contacts(&shared));
         let state_loss = Rc::new(state_loss(&shared, &cancellations));
         let workers = Rc::new(worker_api(&shared, &contacts, &cancellations));
@@ -63,8 +65,8 @@
                 membership: shared.membership.clone(),
                 cancellations: cancellations.clone(),
             },
+            overdue_terminator: overdue_terminator(&shared, registry),
             shared,
-            cancellations,
             contacts,
             state_loss,
             workers,
@@ -87,17 +89,33 @@
     }
 }
 
-fn cancellations(shared: &SharedParts) -> CancellationService {
+fn cancellations(
+    shared: &SharedParts,
+    registry: &Rc<RefCell<Cancellations>>,
+) -> CancellationService {
     CancellationService::new(
-        Micros::from_secs_f64(shared.platform.facts.workers.cancel_s),
+        registry.clone(),
         shared.store.clone(),
-        shared.cloud.clone(),
         shared.membership.clone(),
         shared.peers.clone(),
         shared.current_term.clone(),
     )
 }
 
+fn overdue_terminator(
+    shared: &SharedParts,
+    registry: Rc<RefCell<Cancellations>>,
+) -> OverdueTerminator {
+    OverdueTerminator {
+        clock: Clock,
+        registry,
+        cancel_limit: Micros::from_secs_f64(shared.platform.facts.workers.cancel_s),
+        store: shared.store.clone(),
+        cloud: shared.cloud.clone(),
+        membership: shared.membership.clone(),
+    }
+}
+
 fn contacts(shared: &SharedParts) -> ContactTracker {
     ContactTracker::new(
         &shared.platform,
--- a/src/controller/tasks.rs
+++ b/src/controller/tasks.rs
@@ -72,7 +72,7 @@
         spawn(ex, c, "contacts", async |c| c.contacts.publish().await),
         spawn(ex, c, "pulse", async |c| watch_process(&c).await),
         spawn(ex, c, "clear_up", async |c| {
-            c.cancellations.terminate_overdue_machines().await;
+            c.overdue_terminator.run().await;
         }),
     ];
     if c.shared.settings.rebuilds_lost_state() {
