Write changes of ended jobs first, so that cancelled jobs are answered

What callers saw: questions about a cancelled job were answered 503 for more than a minute after all faults had ended, while questions about other jobs were answered. Its user never got the confirmation either.

Cause: a user is told that a job is cancelled once no view shows a placement of it, that is once the leader has written the removal. Chunks were written in the order of priority and job id, the first ones first. While changes of jobs with a higher priority or a lower id used up the write rate, the removal was never written: a wait that nothing was bound to end. A new leader then read the placements back, took them for tasks that were left, and terminated their machines (machine_terminating, 2.7 s after its election, before their heartbeats).

Why it works: the queue is a type of its own, WriteQueue, which hands out chunks of ended jobs before all others. There are at most as many as users cancel, and each cancellation has itself passed the write limit.

No stored record, message or frame changes its form.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -31,6 +31,7 @@
 mod scale_out;
 #[cfg(test)]
 mod scenarios;
+mod write_queue;
 mod writes;
 
 pub use crate::ids::{JobId, MachineId, TaskId};
@@ -134,11 +135,11 @@
     /// tasks, as of the last scheduling cycle.
     accelerator_headroom: BTreeMap<Priority, Resources>,
 
-    /// Chunks to write, in descending order of priority.
-    dirty: BTreeSet<writes::QueuedChunk>,
+    /// Chunks to write.
+    write_queue: write_queue::WriteQueue,
     /// Chunks whose changes are deferred, to be written together with others of their job while few writes are
     /// possible.
-    deferred: writes::DeferredChunks,
+    deferred: write_queue::DeferredChunks,
     /// Jobs whose tasks have all finished and whose end has yet to be written.
     finished: BTreeSet<JobId>,
     /// Jobs that have ended and have no tasks on machines, so that their records can be deleted.
@@ -192,8 +193,8 @@
             guarantees: quota::Guarantees::default(),
             job_index: job_index::JobIndex::default(),
             accelerator_headroom: BTreeMap::new(),
-            dirty: BTreeSet::new(),
-            deferred: writes::DeferredChunks::default(),
+            write_queue: write_queue::WriteQueue::default(),
+            deferred: write_queue::DeferredChunks::default(),
             finished: BTreeSet::new(),
             terminal: BTreeSet::new(),
             unwritten_images: BTreeSet::new(),
@@ -298,6 +299,7 @@
         self.finished.remove(id);
         self.update_waiting(id);
         self.release_unwritten(id);
+        self.expedite_writes(id);
         self.check_terminal(id);
     }
 
@@ -442,8 +444,8 @@
 
     /// Marks a chunk to be written.
     ///
-    /// Chunks are ordered by priority first. Ordered by job id alone, the chunks of a job with tens of thousands of
-    /// tasks could be written before that of a critical task.
+    /// Chunks of active jobs are ordered by priority first. Ordered by job id alone, the chunks of a job with tens of
+    /// thousands of tasks could be written before that of a critical task.
     fn mark_dirty(&mut self, id: &JobId, number: u32) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
@@ -453,9 +455,9 @@
                 chunk.changed_at = self.last_event_at;
             }
             chunk.dirty = true;
-            let queued = writes::QueuedChunk::new(job.spec.priority, id, number);
+            let queued = write_queue::QueuedChunk::new(job.spec.priority, id, number);
             self.deferred.remove(&queued);
-            self.dirty.insert(queued);
+            self.write_queue.insert(queued, job.ending);
         }
     }
 
--- a/src/scheduler/writes.rs
+++ b/src/scheduler/writes.rs
@@ -4,14 +4,12 @@
 
 use super::Scheduler;
 use super::job::Job;
-use super::job_spec::Priority;
 use super::machine::CachedImage;
 use super::records::{CHUNK_SIZE, ChunkRecord};
+use super::write_queue::QueuedChunk;
 use crate::ids::{JobId, MachineId};
 use crate::revision::Revision;
 use crate::units::Micros;
-use std::cmp::Reverse;
-use std::collections::{BTreeSet, HashMap};
 
 /// Maximum number of operations in one write, except [`Write::Remove`].
 const MAX_OPS_PER_WRITE: usize = 3;
@@ -95,87 +93,12 @@
     }
 }
 
-/// A chunk queued for writing. Chunks are ordered by the priority of their job, highest first, then by job id and
-/// number.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct QueuedChunk {
-    priority: Reverse<Priority>,
-    job: JobId,
-    chunk: u32,
-}
-
-impl QueuedChunk {
-    pub(super) fn new(priority: Priority, job: &JobId, chunk: u32) -> QueuedChunk {
-        QueuedChunk {
-            priority: Reverse(priority),
-            job: job.clone(),
-            chunk,
-        }
-    }
-}
-
-/// Chunks whose writes are deferred to be batched with others of their job, ordered by the time of their change.
-///
-/// Without this queue, every batch would examine each chunk of a job with 100,000 tasks again, only to find that its
-/// write is still deferred.
-#[derive(Debug, Default)]
-pub(super) struct DeferredChunks {
-    by_change: BTreeSet<(Micros, QueuedChunk)>,
-    changed_at: HashMap<JobId, HashMap<u32, Micros>>,
-}
-
-impl DeferredChunks {
-    fn insert(&mut self, queued: QueuedChunk, changed_at: Micros) {
-        let chunks = self.changed_at.entry(queued.job.clone()).or_default();
-        chunks.insert(queued.chunk, changed_at);
-        self.by_change.insert((changed_at, queued));
-    }
-
-    /// Removes a chunk.
-    pub(super) fn remove(&mut self, queued: &QueuedChunk) {
-        let Some(chunks) = self.changed_at.get_mut(&queued.job) else {
-            return;
-        };
-        if let Some(changed_at) = chunks.remove(&queued.chunk) {
-            self.by_change.remove(&(changed_at, queued.clone()));
-        }
-        if chunks.is_empty() {
-            self.changed_at.remove(&queued.job);
-        }
-    }
-
-    /// Removes and returns the chunks that changed at or before `time`.
-    fn take_until(&mut self, time: Micros) -> Vec<QueuedChunk> {
-        let mut taken = Vec::new();
-        while let Some((changed_at, queued)) = self.by_change.first()
-            && *changed_at <= time
-        {
-            let queued = queued.clone();
-            self.remove(&queued);
-            taken.push(queued);
-        }
-        taken
-    }
-
-    /// Removes and returns the chunks of a job.
-    fn take_job(&mut self, job: &JobId, priority: Priority) -> Vec<QueuedChunk> {
-        let chunks = self.changed_at.get(job).into_iter().flatten();
-        let queued_chunks: Vec<QueuedChunk> = chunks
-            .map(|(chunk, _)| QueuedChunk::new(priority, job, *chunk))
-            .collect();
-        for queued in &queued_chunks {
-            self.remove(queued);
-        }
-        queued_chunks
-    }
-}
-
 impl Scheduler {
     /// Moves the deferred chunks of a job to the queue for the next batches.
     pub(super) fn stop_deferring(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get(id) {
             let queued_chunks = self.deferred.take_job(id, job.spec.priority);
-            self.dirty.extend(queued_chunks);
+            self.write_queue.extend(queued_chunks);
         }
     }
 
@@ -198,9 +121,9 @@
             self.last_event_at
         };
         let ready = self.deferred.take_until(latest_ready_change);
-        self.dirty.extend(ready);
+        self.write_queue.extend(ready);
         while remaining_ops >= MAX_OPS_PER_WRITE && size < max_bytes {
-            let Some(queued) = self.dirty.pop_first() else {
+            let Some(queued) = self.write_queue.pop_first() else {
                 break;
             };
             self.count_steps(1);
@@ -424,15 +347,23 @@
         }
     }
 
+    /// Puts the unwritten changes of a job that has ended before those of all other jobs.
+    pub(super) fn expedite_writes(&mut self, id: &JobId) {
+        self.stop_deferring(id);
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        for (number, _) in job.chunks.iter().filter(|(_, chunk)| chunk.dirty) {
+            let queued = QueuedChunk::new(job.spec.priority, id, *number);
+            self.write_queue.insert(queued, true);
+        }
+    }
+
     /// Discards the pending writes of a job that has been removed.
     fn discard_writes(&mut self, job: &Job) {
         let (id, priority) = (&job.spec.id, job.spec.priority);
         self.deferred.take_job(id, priority);
-        let all = QueuedChunk::new(priority, id, 0)..=QueuedChunk::new(priority, id, u32::MAX);
-        let queued_chunks: Vec<QueuedChunk> = self.dirty.range(all).cloned().collect();
-        for queued in queued_chunks {
-            self.dirty.remove(&queued);
-        }
+        self.write_queue.remove_job(id, priority);
     }
 
     /// Reverts the transition of a job to its end after the write of the end was not applied.
