Limit users' commits in flight, so that the reads of every answer are served

What callers saw: after an outage, or when many users cancelled at once, questions about all jobs were answered 503 ("state service did not answer") for more than a minute, at all controllers, though no fault was left. With fewer users, at one controller two of three questions were answered so, though the key-value store refused nothing.

Cause: commits of users' requests did not give way. Each waiting request sent its transaction again 60 ms after a refusal, for 1.5 s, and its user came back a second later. With 600 users the store, which serves 60 requests a second, refused 3,300 commits a second; among what it refused were lease renewals (no leader for seconds, again and again), watches and the reads of the read barrier. The load kept itself up, as hardly any commit got through. In the controller's own budget the same commits ran up a debt, and its watches waited for it: the view fell behind by up to a second, which is what a read barrier allows.

Why it works: a controller has at most 64 commits in flight, in the order of their arrival. A refusal halves that, down to one, and pauses all of them for 30 to 480 ms; completed commits widen it again. So what a controller sends under refusals does not depend on how many users wait. A commit that is not admitted within 1.5 s is answered 503 with Retry-After, as before. Watches are never delayed; their rate is bounded by the pause between them.

--- a/src/api.rs
+++ b/src/api.rs
@@ -2,6 +2,7 @@
 //! controllers.
 
 pub mod admission;
+pub mod commits;
 pub mod peers;
 pub mod users;
 mod wire;
--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -2,10 +2,11 @@
 
 use super::RETRY_AFTER_TRANSIENT_S;
 use super::admission::AdmissionControl;
+use super::commits::UserCommits;
 use crate::cancellation::CancellationService;
-use crate::clock::{Clock, sleep};
+use crate::clock::Clock;
 use crate::http::{HttpRequest, HttpResponse};
-use crate::kv::{Change, Condition, KvClient, KvError, Outcome};
+use crate::kv::{Change, Outcome};
 use crate::membership::Membership;
 use crate::readiness::is_ready;
 use crate::scheduler::{JobEnd, JobId, JobOutcome, JobRecord, JobSpec};
@@ -13,14 +14,10 @@
 use crate::store::{ABORTED, DONE, JobStatus, PENDING, StateCache, StoreKey, encode};
 use crate::units::Micros;
 use http_types::Method;
-use log::{debug, info};
+use log::info;
 use serde::Serialize;
 use std::rc::Rc;
 
-/// Time during which the commit of a submission or cancellation is retried before the user gets a 503 response.
-const COMMIT_TIMEOUT: Micros = Micros::millis(1_500);
-/// Pause between two attempts to commit.
-const COMMIT_RETRY_INTERVAL: Micros = Micros::millis(60);
 /// Time after the arrival of a cancellation request at which it is answered 503 if the job's tasks are not gone yet. The
 /// user waits 5 s for the response.
 const CANCELLATION_TIMEOUT: Micros = Micros::secs(4);
@@ -64,8 +61,8 @@
 pub struct UserApi {
     /// Source of monotonic time and of the Unix time that is stored in records.
     pub clock: Clock,
-    /// Client of the key-value store.
-    pub kv: Rc<KvClient>,
+    /// Commits submissions and cancellations.
+    pub commits: UserCommits,
     /// Cached view of the key-value store.
     pub store: Rc<StateCache>,
     /// Reachability and cluster status of the other controllers.
@@ -140,7 +137,7 @@
         let key = StoreKey::Job(id.clone());
         let conditions = [key.is_absent(), StoreKey::JobEnd(id.clone()).is_absent()];
         let put = [Change::put(key.to_string(), value)];
-        match self.commit(&conditions, &put).await {
+        match self.commits.commit(&conditions, &put).await {
             Some(Outcome::Applied(revision)) => {
                 self.store.record_commits(revision, &put);
                 info!(
@@ -290,7 +287,7 @@
         let key = StoreKey::JobEnd(id.clone());
         let conditions = [key.is_absent()];
         let put = [key.put(&end)];
-        match self.commit(&conditions, &put).await {
+        match self.commits.commit(&conditions, &put).await {
             Some(Outcome::Applied(revision)) => {
                 self.store.record_commits(revision, &put);
                 info!("event=job_cancelled job={id}");
@@ -312,33 +309,6 @@
             None => Err(state_service_timeout()),
         }
     }
-
-    /// Commits a transaction with retries; returns `None` if there is no certain outcome within [`COMMIT_TIMEOUT`].
-    ///
-    /// An attempt without a response may have been applied, or may still be applied later. Retrying the same
-    /// transaction then fails on the key that the first attempt wrote, which the caller treats as "already exists".
-    async fn commit(&self, conditions: &[Condition], writes: &[Change]) -> Option<Outcome> {
-        let deadline = self.clock.now() + COMMIT_TIMEOUT;
-        let losses_before = self.store.losses_found();
-        loop {
-            match self.kv.txn_with_retransmit(conditions, writes).await.0 {
-                // The committed write may already be lost, so the user has to retry.
-                Ok(_) if self.kv.has_evidence() || self.store.losses_found() != losses_before => {
-                    return None;
-                }
-                Ok(outcome) => {
-                    self.store.mark_reachable();
-                    return Some(outcome);
-                }
-                Err(KvError::Refused(e)) => debug!("event=commit_refused error={e:?}"),
-                Err(e) => debug!("event=commit_unanswered error={e}"),
-            }
-            if self.clock.now() + COMMIT_RETRY_INTERVAL >= deadline || !self.store.reachable() {
-                return None;
-            }
-            sleep(COMMIT_RETRY_INTERVAL).await;
-        }
-    }
 }
 
 /// Returns the response when the key-value store did not respond in time. The user has to retry.
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -7,6 +7,7 @@
 pub use tasks::run;
 
 use crate::api::admission::AdmissionControl;
+use crate::api::commits::UserCommits;
 use crate::api::peers::PeerApi;
 use crate::api::users::UserApi;
 use crate::api::workers::WorkerApi;
@@ -166,7 +167,7 @@
 ) -> UserApi {
     UserApi {
         clock: Clock,
-        kv: shared.kv.clone(),
+        commits: UserCommits::new(shared.kv.clone(), shared.store.clone()),
         store: shared.store.clone(),
         membership: shared.membership.clone(),
         state_loss: state_loss.clone(),
--- a/src/kv/budget.rs
+++ b/src/kv/budget.rs
@@ -11,9 +11,10 @@
 /// Whether a request may be delayed when the request budget is exhausted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Urgency {
-    /// Never delayed: lease renewals, elections, submissions and cancellations.
+    /// Never delayed: lease renewals, elections, watches, the reads of read barriers, and commits, of which the API for
+    /// users limits the number in flight.
     Now,
-    /// Waits until the budget covers it: all other requests.
+    /// Waits until the budget covers it: listings and contacts.
     Paced,
 }
 
--- a/src/kv/watch.rs
+++ b/src/kv/watch.rs
@@ -65,7 +65,8 @@
         from: Revision,
         wait: Micros,
     ) -> Result<WatchResponse, KvError> {
-        self.budget.pace(Urgency::Paced, 0).await;
+        // A watch that waits for the debt of commits leaves the view behind, and no read barrier passes.
+        self.budget.pace(Urgency::Now, 0).await;
         let path = format!(
             "/watch?prefix={prefix}&from={from}&waitMs={}",
             wait.as_millis()
