Log why requests are answered 503, what the view was read from, and who leads

No log of the incident was kept, and the log could not have told its cause: nothing at info said why a question was refused, whether read barriers passed, how old the view was or under which token a controller answered.

- store_summary, every ten seconds: who leads under which token; revision and age of the view; listings, watches and those that failed or were compacted; read barriers that passed, and by reason those that did not.
- answer_summary: requests of users that were answered, and by reason those answered 503; commits, refused and waiting ones; responses to heartbeats by the right they were given under; starts and stops sent as the leader.
- question_unanswered (warn): a job about which every question was answered 503 for a minute.
- ended_job_deferred: the invariant of the write queue, checked for each batch; a panic where debug assertions are on, as in the tests.

Reasons are types (Unavailable, BarrierFailure, ResponseBasis); nothing is logged for each request.

--- a/src/api.rs
+++ b/src/api.rs
@@ -2,10 +2,12 @@
 //! controllers.
 
 pub mod admission;
+pub mod answers;
 pub mod commits;
 pub mod peers;
 pub mod users;
 mod wire;
+pub mod worker_stats;
 pub mod workers;
 
 /// `Retry-After` value, in seconds, for conditions that are expected to pass quickly.
--- a/src/api/commits.rs
+++ b/src/api/commits.rs
@@ -5,6 +5,7 @@
 use crate::clock::{Clock, sleep};
 use crate::futures::timeout;
 use crate::kv::{Change, Condition, KvClient, KvError, Outcome};
+use crate::metrics::Counter;
 use crate::store::StateCache;
 use crate::units::Micros;
 use limiter::CommitLimiter;
@@ -16,6 +17,15 @@
 /// Pause before a commit without a certain outcome is sent again.
 const COMMIT_RETRY_INTERVAL: Micros = Micros::millis(60);
 
+/// Counters of the commits, for the log.
+#[derive(Default)]
+pub struct CommitStats {
+    /// Commits with a certain outcome.
+    pub completed: Counter,
+    /// Commits that the key-value store refused.
+    pub refused: Counter,
+}
+
 /// Commits the transactions of users' requests.
 ///
 /// Invariant: when the key-value store refuses commits, fewer of them are sent, however many users wait. The requests
@@ -26,6 +36,8 @@
     kv: Rc<KvClient>,
     store: Rc<StateCache>,
     limiter: CommitLimiter,
+    /// Counters for the log.
+    pub stats: CommitStats,
 }
 
 impl UserCommits {
@@ -36,9 +48,20 @@
             kv,
             store,
             limiter: CommitLimiter::new(),
+            stats: CommitStats::default(),
         }
     }
 
+    /// Returns the number of commits that wait until they may be sent.
+    pub fn waiting(&self) -> usize {
+        self.limiter.waiting()
+    }
+
+    /// Returns the number of commits that may be in flight.
+    pub fn window(&self) -> usize {
+        self.limiter.window()
+    }
+
     /// Commits a transaction with retries; returns `None` if there is no certain outcome in time.
     ///
     /// An attempt without a response may have been applied, or may still be applied later. Retrying the same
@@ -61,11 +84,13 @@
                 }
                 Ok(outcome) => {
                     permit.complete();
+                    self.stats.completed.increment();
                     self.store.mark_reachable();
                     return Some(outcome);
                 }
                 Err(KvError::Refused(e)) => {
                     permit.refuse();
+                    self.stats.refused.increment();
                     debug!("event=commit_refused error={e:?}");
                 }
                 Err(e) => {
--- a/src/api/commits/limiter.rs
+++ b/src/api/commits/limiter.rs
@@ -44,6 +44,16 @@
         }
     }
 
+    /// Returns the number of commits that wait.
+    pub(super) fn waiting(&self) -> usize {
+        self.waiting.borrow().len()
+    }
+
+    /// Returns the number of commits that may be in flight.
+    pub(super) fn window(&self) -> usize {
+        self.window.get() as usize
+    }
+
     /// Waits until a commit may be sent.
     pub(super) async fn acquire(&self) -> CommitPermit<'_> {
         let place = QueuePlace::join(self);
@@ -56,7 +66,7 @@
             let pause = self.resume_at.get().since(self.clock.now());
             if pause > Micros::ZERO {
                 sleep(pause).or(notified).await;
-            } else if self.in_flight.get() < self.window.get() as usize {
+            } else if self.in_flight.get() < self.window() {
                 self.in_flight.set(self.in_flight.get() + 1);
                 return CommitPermit { limiter: self };
             } else {
--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -2,6 +2,7 @@
 
 use super::RETRY_AFTER_TRANSIENT_S;
 use super::admission::AdmissionControl;
+use super::answers::{AnswerStats, Unavailable};
 use super::commits::UserCommits;
 use crate::cancellation::CancellationService;
 use crate::clock::Clock;
@@ -30,8 +31,8 @@
 enum StatusLookup {
     Found(JobStatus),
     NoSuchJob,
-    /// The key-value store did not respond in time, or the cancellation could not be confirmed. The user has to retry.
-    Unavailable,
+    /// The status is not certain. The user has to retry.
+    Unavailable(Unavailable),
 }
 
 /// Response body for a submission or a cancellation.
@@ -71,6 +72,8 @@
     pub state_loss: Rc<StateLossRecovery>,
     /// Cancellations that are known to this controller.
     pub cancellations: Rc<CancellationService>,
+    /// Counts the answers, and why others are not given.
+    pub stats: AnswerStats,
     /// Decides which submissions are accepted.
     pub admission: AdmissionControl,
     /// Maximum size of a submission's stored record, in bytes.
@@ -144,10 +147,15 @@
                     "event=job_accepted job={id} class={} tasks={}",
                     record.spec.class, record.spec.tasks
                 );
+                self.stats.answered.increment();
                 HttpResponse::json(201, &JobAnswer::new(&id, PENDING))
             }
             Some(Outcome::Conflict(_)) => self.respond_existing(&id).await,
-            None => state_service_timeout(),
+            None => {
+                let reason = Unavailable::CommitUncertain;
+                self.stats.unavailable.increment(reason);
+                state_service_timeout()
+            }
         }
     }
 
@@ -155,9 +163,10 @@
     /// idempotent.
     async fn respond_existing(&self, id: &JobId) -> HttpResponse {
         match self.confirmed_status(id).await {
-            StatusLookup::Found(status) => HttpResponse::json(200, &status),
+            StatusLookup::Found(status) => self.respond_found(id, &status),
             // The job was known a moment ago, so this view lags behind. The user retries.
-            StatusLookup::NoSuchJob | StatusLookup::Unavailable => state_service_timeout(),
+            StatusLookup::NoSuchJob => self.respond_unavailable(id, Unavailable::JobNotVisible),
+            StatusLookup::Unavailable(reason) => self.respond_unavailable(id, reason),
         }
     }
 
@@ -167,9 +176,14 @@
     /// Without the barrier, the status could be older than one that another controller has already returned.
     async fn linearizable_status(&self, id: &JobId) -> StatusLookup {
         let has_ended = self.store.view.borrow().ends.contains_key(id);
-        // A loss of stored state may be detected during the barrier.
-        if !has_ended && (!self.store.barrier().await || self.state_loss.withholds_answers()) {
-            return StatusLookup::Unavailable;
+        if !has_ended {
+            if let Err(failure) = self.store.barrier().await {
+                return StatusLookup::Unavailable(Unavailable::Barrier(failure));
+            }
+            // A loss of stored state may be detected during the barrier.
+            if self.state_loss.withholds_answers() {
+                return StatusLookup::Unavailable(Unavailable::Rebuilding);
+            }
         }
         match self.store.view.borrow().status(id) {
             Some(status) => StatusLookup::Found(status),
@@ -185,7 +199,7 @@
             && status.status == ABORTED
             && !self.cancellations.confirm(id, self.clock.now()).await
         {
-            return StatusLookup::Unavailable;
+            return StatusLookup::Unavailable(Unavailable::CancellationUnproven);
         }
         lookup
     }
@@ -202,12 +216,16 @@
                 .is_some_and(|end| end.outcome == JobOutcome::Done)
         });
         match views_with_done.find_map(|view| view.status(id)) {
-            Some(status) => HttpResponse::json(200, &status),
-            None => HttpResponse::retry_later(
-                503,
-                "stored state is being rebuilt",
-                RETRY_AFTER_REBUILD_S,
-            ),
+            Some(status) => self.respond_found(id, &status),
+            None => {
+                let reason = Unavailable::Rebuilding;
+                self.stats.record_unavailable(id, reason, self.clock.now());
+                HttpResponse::retry_later(
+                    503,
+                    "stored state is being rebuilt",
+                    RETRY_AFTER_REBUILD_S,
+                )
+            }
         }
     }
 
@@ -219,9 +237,9 @@
             return self.final_status_or_retry(&id);
         }
         match self.confirmed_status(&id).await {
-            StatusLookup::Found(status) => HttpResponse::json(200, &status),
+            StatusLookup::Found(status) => self.respond_found(&id, &status),
             StatusLookup::NoSuchJob => no_such_job(),
-            StatusLookup::Unavailable => state_service_timeout(),
+            StatusLookup::Unavailable(reason) => self.respond_unavailable(&id, reason),
         }
     }
 
@@ -238,26 +256,40 @@
             match self.linearizable_status(&id).await {
                 StatusLookup::Found(_) => {}
                 StatusLookup::NoSuchJob => return no_such_job(),
-                StatusLookup::Unavailable => return state_service_timeout(),
+                StatusLookup::Unavailable(reason) => return self.respond_unavailable(&id, reason),
             }
         }
         if self.end_of(&id).is_none()
-            && let Err(refusal) = self.commit_cancellation(&id).await
+            && let Err(reason) = self.commit_cancellation(&id).await
         {
-            return refusal;
+            return self.respond_unavailable(&id, reason);
         }
         match self.end_of(&id).map(|e| e.outcome) {
-            Some(JobOutcome::Done) => HttpResponse::json(200, &JobAnswer::new(&id, DONE)),
+            Some(JobOutcome::Done) => self.respond_found(&id, &JobAnswer::new(&id, DONE)),
             Some(JobOutcome::Aborted) if self.cancellations.confirm(&id, deadline).await => {
-                HttpResponse::json(200, &JobAnswer::new(&id, ABORTED))
+                self.respond_found(&id, &JobAnswer::new(&id, ABORTED))
             }
             Some(JobOutcome::Aborted) => self.respond_unconfirmed(&id),
-            None => state_service_timeout(),
+            None => self.respond_unavailable(&id, Unavailable::CommitNotVisible),
         }
     }
 
+    /// Returns the response with a job's status, and records that a question about it was answered.
+    fn respond_found(&self, id: &JobId, body: &impl Serialize) -> HttpResponse {
+        self.stats.record_answer(id);
+        HttpResponse::json(200, body)
+    }
+
+    /// Returns the response to a request that can't be answered now, and records why. The user has to retry.
+    fn respond_unavailable(&self, id: &JobId, reason: Unavailable) -> HttpResponse {
+        self.stats.record_unavailable(id, reason, self.clock.now());
+        state_service_timeout()
+    }
+
     /// Returns the response to the cancellation of a job whose tasks may still be on machines.
     fn respond_unconfirmed(&self, id: &JobId) -> HttpResponse {
+        let reason = Unavailable::CancellationUnproven;
+        self.stats.record_unavailable(id, reason, self.clock.now());
         let machines = self.store.view.borrow().machines_of(id);
         let first = machines.first().map_or("", |machine| machine.0.as_str());
         info!(
@@ -276,8 +308,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the response for the user if the outcome of the commit, or its visibility in the view, is uncertain.
-    async fn commit_cancellation(&self, id: &JobId) -> Result<(), HttpResponse> {
+    /// Fails if the outcome of the commit, or its visibility in the view, is uncertain.
+    async fn commit_cancellation(&self, id: &JobId) -> Result<(), Unavailable> {
         let end = JobEnd {
             outcome: JobOutcome::Aborted,
             at: self.clock.unix_time(),
@@ -299,14 +331,14 @@
                 if is_visible {
                     Ok(())
                 } else {
-                    Err(state_service_timeout())
+                    Err(Unavailable::CommitNotVisible)
                 }
             }
             Some(Outcome::Conflict(_)) => {
-                self.store.barrier().await;
+                let _ = self.store.barrier().await;
                 Ok(())
             }
-            None => Err(state_service_timeout()),
+            None => Err(Unavailable::CommitUncertain),
         }
     }
 }
--- a/src/api/workers.rs
+++ b/src/api/workers.rs
@@ -1,6 +1,7 @@
 //! The API for workers. Heartbeats are answered by the leader, whichever controller receives them.
 
 use super::wire::{heartbeat_response, no_leader, redirect};
+use super::worker_stats::{ResponseBasis, WorkerStats};
 use crate::cancellation::CancellationService;
 use crate::clock::Clock;
 use crate::contacts::ContactTracker;
@@ -54,6 +55,8 @@
     pub contacts: Rc<ContactTracker>,
     /// Cancellations that are known to this controller.
     pub cancellations: Rc<CancellationService>,
+    /// Counts the responses, and by which right they were given.
+    pub stats: WorkerStats,
 }
 
 impl WorkerApi {
@@ -74,10 +77,16 @@
             Some(HeartbeatResponse {
                 redirect_to: Some(other),
                 ..
-            }) => redirect(&other),
+            }) => {
+                self.stats.responses.increment(ResponseBasis::Redirected);
+                redirect(&other)
+            }
             // The worker would ignore a response with a lower token but keep sending here until its lease expires, so
             // it has to choose another controller.
-            Some(response) if response.token < heartbeat.token => no_leader(),
+            Some(response) if response.token < heartbeat.token => {
+                self.stats.responses.increment(ResponseBasis::TokenBehind);
+                no_leader()
+            }
             Some(response) => heartbeat_response(response.token, &response.commands),
             None => self.answer_without_leader(&heartbeat),
         }
@@ -89,13 +98,16 @@
     fn answer_without_leader(&self, heartbeat: &Heartbeat) -> HttpResponse {
         let machine = heartbeat.machine.clone();
         if let Some(other) = self.contacts.redirect_target(&machine, &heartbeat.zone) {
+            self.stats.responses.increment(ResponseBasis::Redirected);
             debug!("event=worker_redirected machine={machine} to={other}");
             return redirect(&other);
         }
         let token = self.membership.cluster_status().token;
         if token == FencingToken::NONE || token < heartbeat.token {
+            self.stats.responses.increment(ResponseBasis::TokenBehind);
             return no_leader();
         }
+        self.stats.responses.increment(ResponseBasis::WithoutLeader);
         self.contacts.record_contact(machine);
         heartbeat_response(token, &self.stop_commands_for_cancelled(heartbeat))
     }
@@ -117,9 +129,13 @@
         } else {
             TOTAL_FORWARD_TIMEOUT
         };
-        timeout(time_limit, self.forward(heartbeat, &own_node, true))
+        let response = timeout(time_limit, self.forward(heartbeat, &own_node, true))
             .await
-            .flatten()
+            .flatten();
+        if response.is_some() {
+            self.stats.responses.increment(ResponseBasis::Forwarded);
+        }
+        response
     }
 
     /// Returns the response of this controller as the leader. `via` is the controller that relayed the heartbeat, empty
@@ -149,15 +165,24 @@
             // they freed.
             term.await_next_cycle().await;
         }
-        let commands = if !outcome.is_newest {
-            Vec::new()
+        let basis = if !outcome.is_newest {
+            ResponseBasis::StaleHeartbeat
         } else if term.may_send_commands(self.clock.now()) {
-            let position = heartbeat.position();
-            let mut scheduler = term.scheduler.borrow_mut();
-            scheduler.commands_for(&heartbeat.machine, position, now)
+            ResponseBasis::LeaseValid
         } else {
-            self.stop_commands_for_cancelled(heartbeat)
+            ResponseBasis::LeaseUncertain
+        };
+        self.stats.responses.increment(basis);
+        let commands = match basis {
+            ResponseBasis::LeaseValid => {
+                let position = heartbeat.position();
+                let mut scheduler = term.scheduler.borrow_mut();
+                scheduler.commands_for(&heartbeat.machine, position, now)
+            }
+            ResponseBasis::LeaseUncertain => self.stop_commands_for_cancelled(heartbeat),
+            _ => Vec::new(),
         };
+        self.stats.count_commands(&commands);
         let is_idle = outcome.is_newest && !outcome.changed && commands.is_empty();
         let may_redirect = via.is_empty() && is_idle && heartbeat.token == term.token();
         Some(HeartbeatResponse {
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -2,14 +2,17 @@
 //! logic.
 
 mod parts;
+mod summary;
 mod tasks;
 
 pub use tasks::run;
 
 use crate::api::admission::AdmissionControl;
+use crate::api::answers::AnswerStats;
 use crate::api::commits::UserCommits;
 use crate::api::peers::PeerApi;
 use crate::api::users::UserApi;
+use crate::api::worker_stats::WorkerStats;
 use crate::api::workers::WorkerApi;
 use crate::cancellation::{CancellationService, Cancellations, OverdueTerminator};
 use crate::clock::Clock;
@@ -26,6 +29,7 @@
 use std::rc::Rc;
 
 use parts::SharedParts;
+use summary::SummarySchedule;
 
 /// The HTTP path of workers' heartbeats; all other paths belong to the user API.
 const HEARTBEAT_PATH: &str = "/checkin";
@@ -42,6 +46,7 @@
     workers: Rc<WorkerApi>,
     peer_api: PeerApi,
     pinger: PeerPinger,
+    summary_schedule: SummarySchedule,
 }
 
 impl Controller {
@@ -67,6 +72,7 @@
                 cancellations: cancellations.clone(),
             },
             overdue_terminator: overdue_terminator(&shared, registry),
+            summary_schedule: SummarySchedule::new(Clock.now()),
             shared,
             contacts,
             state_loss,
@@ -172,6 +178,7 @@
         membership: shared.membership.clone(),
         state_loss: state_loss.clone(),
         cancellations: cancellations.clone(),
+        stats: AnswerStats::default(),
         admission: AdmissionControl::new(&shared.platform, &shared.settings),
         max_record_bytes: shared.platform.facts.state.value_kb * 1024.0,
     }
@@ -189,6 +196,7 @@
         current_term: shared.current_term.clone(),
         contacts: contacts.clone(),
         cancellations: cancellations.clone(),
+        stats: WorkerStats::default(),
     }
 }
 
--- a/src/controller/tasks.rs
+++ b/src/controller/tasks.rs
@@ -133,7 +133,7 @@
     }
 }
 
-/// Detects process pauses and logs socket shortages periodically; never returns.
+/// Detects process pauses, and logs socket shortages and summaries periodically; never returns.
 async fn watch_process(controller: &Controller) {
     loop {
         let now = Clock.now();
@@ -141,6 +141,7 @@
             controller.shared.current_term.on_process_pause(gap, now);
         }
         controller.connections.log_shortage();
+        controller.log_summary_if_due();
         sleep(PAUSE_CHECK_INTERVAL).await;
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod kv;
 pub mod leader;
 pub mod membership;
+pub mod metrics;
 pub mod net;
 pub mod pause_detector;
 pub mod peer;
--- a/src/scheduler/events.rs
+++ b/src/scheduler/events.rs
@@ -191,6 +191,11 @@
         /// Duration of the rebuild.
         after: Micros,
     },
+    /// A batch has changes of a job that has not ended, though a change of a job that has ended still waits: a bug.
+    EndedJobDeferred {
+        /// Job that has ended.
+        job: JobId,
+    },
     /// A heartbeat shows no effect of the responses to earlier ones.
     HeartbeatUnacknowledged {
         /// Machine that sent the heartbeat.
@@ -302,6 +307,7 @@
                 f,
                 "event=machine_terminating machine={machine} why=cancelled_task_left job={job}"
             ),
+            E::EndedJobDeferred { job } => write!(f, "event=ended_job_deferred job={job}"),
             E::MachineIdle { machine, zone } => {
                 write!(f, "event=machine_idle machine={machine} zone={zone}")
             }
--- a/src/scheduler/write_queue.rs
+++ b/src/scheduler/write_queue.rs
@@ -60,6 +60,11 @@
         of_ended_job.or_else(|| self.of_active_jobs.pop_first())
     }
 
+    /// Returns a job that has ended and has a chunk to write, if there is one.
+    pub(super) fn ended_job(&self) -> Option<&JobId> {
+        self.of_ended_jobs.first().map(|queued| &queued.job)
+    }
+
     /// Removes all chunks of a job.
     pub(super) fn remove_job(&mut self, job: &JobId, priority: Priority) {
         let first = QueuedChunk::new(priority, job, 0);
--- a/src/scheduler/writes.rs
+++ b/src/scheduler/writes.rs
@@ -3,6 +3,7 @@
 //! Only one batch is in flight at a time: the controller reports its outcome before it requests the next one.
 
 use super::Scheduler;
+use super::events::SchedulerEvent;
 use super::job::Job;
 use super::machine::CachedImage;
 use super::records::{CHUNK_SIZE, ChunkRecord};
@@ -161,6 +162,7 @@
                 version: chunk.version,
             });
         }
+        self.check_ended_jobs_first(&batch);
         self.add_completions(&mut batch, &mut remaining_ops);
         if write_limited {
             return batch;
@@ -172,6 +174,17 @@
         batch
     }
 
+    /// Checks the invariant of [`WriteQueue`](super::write_queue::WriteQueue) for a batch: it has changes of active jobs
+    /// only if no change of an ended job waits.
+    fn check_ended_jobs_first(&mut self, batch: &[Write]) {
+        let has_ended = |id: &JobId| self.jobs.get(id).is_none_or(|job| job.end.is_some());
+        let has_active = batch.iter().filter_map(Write::job).any(|id| !has_ended(id));
+        if has_active && let Some(job) = self.write_queue.ended_job().cloned() {
+            debug_assert!(false, "a change of {job}, which has ended, is deferred");
+            self.events.push(SchedulerEvent::EndedJobDeferred { job });
+        }
+    }
+
     /// Returns the time at which a chunk changed if its write may be deferred: its job continues, it has no new
     /// placements, and the change is recent.
     ///
--- a/src/state_loss/restore.rs
+++ b/src/state_loss/restore.rs
@@ -114,7 +114,7 @@
                 }
                 Ok(Outcome::Conflict(failed)) => {
                     debug!("event=restore_conflict keys={failed:?}");
-                    self.store.barrier().await;
+                    let _ = self.store.barrier().await;
                     return Ok(false);
                 }
                 Err(e) => debug!("event=restore_failed error={:?}", e.to_string()),
--- a/src/store.rs
+++ b/src/store.rs
@@ -10,14 +10,17 @@
 mod keys;
 mod loss;
 mod records;
+mod stats;
 mod view;
 
+pub use barrier::BarrierFailure;
 pub use keys::{InvalidKey, KeyKind, PREFIX, StoreKey};
 pub use loss::Loss;
 pub use records::{
     ArchivedEnd, CandidateRecord, InvalidRecord, LeaderRecord, LossRecord, ProvisioningRecord,
     decode, encode,
 };
+pub use stats::StoreStats;
 pub use view::{ABORTED, DONE, JobStatus, PENDING, RUNNING, Versioned, View, ViewChange};
 
 use crate::clock::Clock;
@@ -49,6 +52,8 @@
     /// Ends the pause before the next watch early.
     watch_requested: Event,
     barrier: ReadBarrier,
+    /// Counters for the log.
+    pub stats: StoreStats,
     last_response_at: Cell<Micros>,
     /// The last loss of stored state found by this controller, until its snapshot is no longer needed.
     pub loss: RefCell<Option<Loss>>,
@@ -71,6 +76,7 @@
             coalesce_window,
             watch_requested: Event::new(),
             barrier: ReadBarrier::default(),
+            stats: StoreStats::default(),
             last_response_at: Cell::new(clock.now()),
             loss: RefCell::default(),
             losses_found: Cell::new(0),
@@ -83,6 +89,11 @@
         self.clock.now().since(self.last_response_at.get()) < UNREACHABLE_AFTER
     }
 
+    /// Returns the time since the view was last known to be current: since the last listing or answered watch.
+    pub fn view_age(&self) -> Micros {
+        self.clock.now().since(self.stats.last_update_at.get())
+    }
+
     /// Records a response of the key-value store at the current time.
     pub fn mark_reachable(&self) {
         self.last_response_at.set(self.clock.now());
--- a/src/store/barrier.rs
+++ b/src/store/barrier.rs
@@ -14,6 +14,7 @@
 use futures_lite::FutureExt;
 use log::debug;
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::rc::Rc;
 
 /// Interval at which the revision is read, as a probe of the store, when no reader waits for the barrier.
@@ -25,25 +26,49 @@
 /// Time allowed for the view to reach the revision that was read.
 const CATCH_UP_TIMEOUT: Micros = Micros::millis(1_000);
 
+/// Why a read barrier did not pass.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum BarrierFailure {
+    /// The key-value store has not responded for a while, so its revision was not read.
+    StoreUnreachable,
+    /// The read of the current revision was refused, or not answered in time.
+    RevisionUnread,
+    /// The view did not reach the revision in time.
+    ViewBehind,
+    /// The reader's time was over before the read and the wait for the view were.
+    TimedOut,
+}
+
+impl fmt::Display for BarrierFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            BarrierFailure::StoreUnreachable => "store_unreachable",
+            BarrierFailure::RevisionUnread => "revision_unread",
+            BarrierFailure::ViewBehind => "view_behind",
+            BarrierFailure::TimedOut => "timed_out",
+        })
+    }
+}
+
 /// A read of the current revision, shared by all readers that wait for it.
 #[derive(Default)]
 struct Generation {
     /// Whether the view reached the revision in time; `None` until the read is complete.
-    passed: Cell<Option<bool>>,
+    outcome: Cell<Option<Result<(), BarrierFailure>>>,
     completed: Event,
 }
 
 impl Generation {
-    fn complete(&self, passed: bool) {
-        self.passed.set(Some(passed));
+    fn complete(&self, outcome: Result<(), BarrierFailure>) {
+        self.outcome.set(Some(outcome));
         self.completed.notify(usize::MAX);
     }
 
-    async fn wait(&self) -> bool {
+    async fn wait(&self) -> Result<(), BarrierFailure> {
         loop {
             let completed = self.completed.listen();
-            if let Some(passed) = self.passed.get() {
-                return passed;
+            if let Some(outcome) = self.outcome.get() {
+                return outcome;
             }
             completed.await;
         }
@@ -90,15 +115,18 @@
 impl StateCache {
     /// Waits until the view contains all writes made before this call.
     ///
-    /// Returns `false` if this takes longer than 1.3 s or fails, or immediately if the key-value store is unreachable.
-    /// The view may then lack any of these writes.
-    pub async fn barrier(&self) -> bool {
+    /// # Errors
+    ///
+    /// Fails if this takes longer than 1.3 s, or immediately if the key-value store is unreachable. The view may then
+    /// lack any of these writes.
+    pub async fn barrier(&self) -> Result<(), BarrierFailure> {
         if !self.reachable() {
-            return false;
+            return Err(BarrierFailure::StoreUnreachable);
         }
         let generation = self.barrier.join();
         let wait = generation.wait();
-        timeout(BARRIER_TIMEOUT, wait).await.unwrap_or(false)
+        let outcome = timeout(BARRIER_TIMEOUT, wait).await;
+        outcome.unwrap_or(Err(BarrierFailure::TimedOut))
     }
 
     /// Serves read barriers, and probes the key-value store once a second while no reader waits. Runs forever.
@@ -106,25 +134,31 @@
         loop {
             self.barrier.wait_for_request().await;
             let generation = self.barrier.close_generation();
-            generation.complete(self.catch_up().await);
+            let outcome = self.catch_up().await;
+            match outcome {
+                Ok(()) => self.stats.passed_barriers.increment(),
+                Err(failure) => self.stats.failed_barriers.increment(failure),
+            }
+            generation.complete(outcome);
             sleep(self.coalesce_window).await;
         }
     }
 
-    /// Reads the current revision, and returns whether the view reaches it in time.
-    async fn catch_up(&self) -> bool {
+    /// Reads the current revision, and waits until the view reaches it.
+    async fn catch_up(&self) -> Result<(), BarrierFailure> {
         let absent = StoreKey::Absent.to_string();
         let read = self.kv.get(Urgency::Now, &absent);
         match timeout(READ_TIMEOUT, read).await {
             Some(Ok(Lookup::Absent { revision })) => {
                 self.mark_reachable();
-                self.wait_for_revision(revision, CATCH_UP_TIMEOUT).await
+                let has_reached = self.wait_for_revision(revision, CATCH_UP_TIMEOUT).await;
+                has_reached.then_some(()).ok_or(BarrierFailure::ViewBehind)
             }
             Some(Err(e)) => {
                 debug!("event=probe_failed error={e:?}");
-                false
+                Err(BarrierFailure::RevisionUnread)
             }
-            Some(Ok(Lookup::Found(_))) | None => false,
+            Some(Ok(Lookup::Found(_))) | None => Err(BarrierFailure::RevisionUnread),
         }
     }
 }
--- a/src/store/barrier/tests.rs
+++ b/src/store/barrier/tests.rs
@@ -1,7 +1,7 @@
-use super::{Generation, ReadBarrier};
+use super::{BarrierFailure, Generation, ReadBarrier};
 use futures_lite::future::{block_on, poll_once};
 
-fn passed(generation: &Generation) -> Option<bool> {
+fn outcome(generation: &Generation) -> Option<Result<(), BarrierFailure>> {
     block_on(poll_once(generation.wait()))
 }
 
@@ -16,15 +16,16 @@
     let in_flight = barrier.close_generation();
     assert!(!barrier.has_waiters());
     let late = barrier.join();
-    in_flight.complete(true);
-    assert_eq!(passed(&early), Some(true));
-    assert_eq!(passed(&late), None);
+    in_flight.complete(Ok(()));
+    assert_eq!(outcome(&early), Some(Ok(())));
+    assert_eq!(outcome(&late), None);
     assert!(
         barrier.has_waiters(),
         "a waiting reader must trigger the next read"
     );
-    barrier.close_generation().complete(false);
-    assert_eq!(passed(&late), Some(false));
+    let failure = Err(BarrierFailure::ViewBehind);
+    barrier.close_generation().complete(failure);
+    assert_eq!(outcome(&late), Some(failure));
 }
 
 #[test]
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -28,6 +28,7 @@
     pub async fn follow(&self) {
         loop {
             if let Err(e) = self.load().await {
+                self.stats.failed_listings.increment();
                 debug!("event=view_load_failed error={e:?}");
                 sleep(LIST_RETRY_PAUSE).await;
                 continue;
@@ -66,6 +67,8 @@
             view.ends.len()
         );
         self.mark_reachable();
+        self.stats.listings.increment();
+        self.stats.last_update_at.set(self.clock.now());
         self.view.replace(view);
         self.publish(changes);
         Ok(())
@@ -79,14 +82,20 @@
             match self.kv.watch(PREFIX, from, WATCH_TIMEOUT).await {
                 Ok(response) => {
                     self.mark_reachable();
+                    self.stats.watches.increment();
+                    self.stats.last_update_at.set(self.clock.now());
                     let has_changes = !response.events.is_empty();
                     self.apply(response.revision, response.events);
                     if has_changes {
                         self.pause_watch().await;
                     }
                 }
-                Err(KvError::Compacted) => return,
+                Err(KvError::Compacted) => {
+                    self.stats.compacted_watches.increment();
+                    return;
+                }
                 Err(e) => {
+                    self.stats.failed_watches.increment();
                     debug!("event=watch_failed error={e:?}");
                     sleep(WATCH_RETRY_PAUSE).await;
                 }
