--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -2,4 +2,7 @@
 
 #![warn(missing_docs)]
 
+pub mod answers;
+pub mod invariants;
 pub mod keys;
+pub mod rate_limit;
--- a/tests/support/world/answers.rs
+++ b/tests/support/world/answers.rs
@@ -1,16 +1,13 @@
-//! Questions about accepted jobs once all faults have ended: whether each job, by itself, is answered in time.
+//! Questions of users about accepted jobs once all faults have ended.
 
 use super::{World, public_addr};
 use http_types::Method;
 use ravenhead::http::Client;
 use ravenhead::units::Micros;
+use ravenhead_stand_ins::answers::{ANSWER_LIMIT_S, AnswerWatch, Question};
 use serde_json::Value;
-use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-/// Seconds after the last fault within which a question about each accepted job must be answered.
-pub const ANSWER_LIMIT_S: f64 = 75.0;
 /// Mean seconds between two questions of a user about a job.
 const POLL_INTERVAL_S: f64 = 5.0;
 /// How long a user waits for the answer to a question.
@@ -18,35 +15,6 @@
 /// How long the load balancer waits for the answer to a health check.
 const READY_TIMEOUT: Micros = Micros::secs(1);
 
-/// A job and the number of the controller that is asked about it.
-type Question = (String, usize);
-
-/// What became of the questions since the last fault ended.
-#[derive(Default)]
-pub struct AnswerWatch {
-    /// Questions that were not answered yet, with the last response or the reason why there was none.
-    unanswered: RefCell<BTreeMap<Question, String>>,
-    answered: RefCell<BTreeSet<Question>>,
-    /// Controllers that were not ready at some time.
-    unready_nodes: RefCell<BTreeSet<usize>>,
-}
-
-impl AnswerWatch {
-    /// Returns a line for each job that no controller answered about, and for each job that a controller did not answer
-    /// about although it was ready all the time.
-    pub fn violations(&self) -> Vec<String> {
-        let answered = self.answered.borrow();
-        let unready = self.unready_nodes.borrow();
-        let unanswered = self.unanswered.borrow();
-        let violation = |((job, node), reason): (&Question, &String)| {
-            let by_any = answered.iter().any(|(answered_job, _)| answered_job == job);
-            let is_exempt = by_any && unready.contains(node);
-            (!is_exempt).then(|| format!("no answer about {job} at n-{node}: {reason}"))
-        };
-        unanswered.iter().filter_map(violation).collect()
-    }
-}
-
 impl World {
     /// Starts to ask each controller about each accepted job, from now until it is answered or [`ANSWER_LIMIT_S`] has
     /// passed. Called when the last fault ends.
@@ -62,11 +30,7 @@
         for node in 0..self.nodes {
             for job in &jobs {
                 let question = (job.clone(), node);
-                let not_asked = "not asked".to_owned();
-                watch
-                    .unanswered
-                    .borrow_mut()
-                    .insert(question.clone(), not_asked);
+                watch.expect(question.clone());
                 let (w, watch) = (self.clone(), watch.clone());
                 self.spawn(async move { w.ask_until_answered(&watch, question, ends_at).await });
             }
@@ -80,19 +44,13 @@
         while self.sim.now() < ends_at {
             match self.ask(job, *node).await {
                 Ok(()) => {
-                    watch.unanswered.borrow_mut().remove(&question);
-                    watch.answered.borrow_mut().insert(question);
+                    watch.record_answer(&question);
                     return;
                 }
-                Err(reason) => {
-                    watch
-                        .unanswered
-                        .borrow_mut()
-                        .insert(question.clone(), reason);
-                }
+                Err(reason) => watch.record_failure(&question, reason),
             }
             if !self.is_node_ready(*node).await {
-                watch.unready_nodes.borrow_mut().insert(*node);
+                watch.record_unready(*node);
             }
             let interval_s = POLL_INTERVAL_S * (0.5 + self.sim.random());
             self.sim.sleep(interval_s).await;
--- a/tests/support/world/mod.rs
+++ b/tests/support/world/mod.rs
@@ -20,6 +20,8 @@
 use ravenhead::http::{HttpRequest, HttpResponse, serve};
 use ravenhead::net::Stream;
 use ravenhead::units::Micros;
+use ravenhead_stand_ins::answers::ANSWER_LIMIT_S;
+use ravenhead_stand_ins::rate_limit::TokenBucket;
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -159,38 +161,6 @@
     }
 }
 
-/// A token bucket that holds the tokens of a few seconds. Each request or changed key takes one token.
-struct TokenBucket {
-    per_second: f64,
-    burst: f64,
-    tokens: Cell<f64>,
-    refilled_at: Cell<u64>,
-}
-
-impl TokenBucket {
-    fn new(per_second: f64, seconds: f64) -> TokenBucket {
-        TokenBucket {
-            per_second,
-            burst: per_second * seconds,
-            tokens: Cell::new(per_second * seconds),
-            refilled_at: Cell::new(0),
-        }
-    }
-
-    /// Takes `tokens` if the bucket holds as many, and returns whether it did.
-    fn try_take(&self, now: u64, tokens: f64) -> bool {
-        let gained = (now - self.refilled_at.replace(now)) as f64 / 1e6 * self.per_second;
-        let available = (self.tokens.get() + gained).min(self.burst);
-        let enough = available >= tokens;
-        self.tokens.set(if enough {
-            available - tokens
-        } else {
-            available
-        });
-        enough
-    }
-}
-
 /// Time and failure rate of machine provisioning.
 #[derive(Debug, Clone, Copy)]
 pub struct Provisioning {
@@ -579,7 +549,7 @@
         let faults_ended_at = self.sim.now();
         self.await_recovery(seconds);
         let elapsed_s = (self.sim.now() - faults_ended_at) as f64 / 1e6;
-        self.run((answers::ANSWER_LIMIT_S - elapsed_s).max(0.0));
+        self.run((ANSWER_LIMIT_S - elapsed_s).max(0.0));
         assert_eq!(answers.violations(), Vec::<String>::new());
         self.assert_invariants();
     }
@@ -588,7 +558,7 @@
     /// when the last fault ends.
     pub fn assert_answers(self: &Rc<Self>) {
         let answers = self.watch_answers();
-        self.run(answers::ANSWER_LIMIT_S);
+        self.run(ANSWER_LIMIT_S);
         let violations = answers.violations();
         let first: Vec<&String> = violations.iter().take(5).collect();
         assert!(violations.is_empty(), "{}: {first:#?}", violations.len());
