--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -203,3 +203,25 @@
     drop(invariants);
     w.assert_invariants();
 }
+
+// Guards against the overload after an outage in which questions about all jobs stay unanswered: users who waited with
+// their submissions take all requests that the key-value store serves.
+#[test]
+fn questions_are_answered_after_an_outage_in_which_users_waited_with_their_submissions() {
+    let w = full_fleet(8);
+    w.set_state_outage(true);
+    w.run(50.0);
+    for n in 0..1_200 {
+        w.spawn_submit(
+            n,
+            with(
+                job(&format!("j-w{n:04}"), 2, 10_000.0),
+                json!({"rank": "low"}),
+            ),
+        );
+    }
+    w.run(10.0);
+    w.set_state_outage(false);
+    w.assert_answers();
+    assert_eq!(running_tasks(&w), JOBS * TASKS as usize, "tasks");
+}
