Soak: end the controllers when the program is told to end

A soak that was ended by a signal left its controllers behind, as the program's own end did not drop them. SIGTERM, SIGINT and SIGHUP now end the run as an error does. Seen by hand: three controllers ran, the program got SIGTERM, none was left.

--- a/crates/load/src/soak/mod.rs
+++ b/crates/load/src/soak/mod.rs
@@ -17,6 +17,8 @@
 mod worker;
 
 use async_executor::LocalExecutor;
+use async_signal::{Signal, Signals};
+use futures_lite::{StreamExt, future};
 use ravenhead_stand_ins::answers::ANSWER_LIMIT_S;
 use site::Site;
 use spawner::Spawner;
@@ -69,11 +71,19 @@
 ///
 /// # Errors
 ///
-/// Fails if a listener or a controller can't be started.
+/// Fails if a listener or a controller can't be started, or if this process is told to end.
 pub fn run(options: &Options) -> io::Result<Report> {
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
     let spawner = Spawner::new(&executor);
-    async_io::block_on(executor.run(play(options, spawner)))
+    let run = future::or(play(options, spawner), interrupted());
+    async_io::block_on(executor.run(run))
+}
+
+/// Returns once this process is told to end. If the signal ended it at once, the controllers would be left behind.
+async fn interrupted() -> io::Result<Report> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    signals.next().await;
+    Err(io::ErrorKind::Interrupted.into())
 }
 
 async fn play(options: &Options, spawner: Spawner) -> io::Result<Report> {
@@ -90,7 +100,9 @@
         site.sleep(CHECK_INTERVAL_S).await;
     }
     let answered_after_s = elapsed_s();
-    site.ask_once_more().await;
+    if answers.is_complete() {
+        site.ask_once_more().await;
+    }
     site.check_deadlines();
     let checker = site.checker.borrow();
     let mut violations = checker.violations.clone();
